--- a/linnetlane/claim/fake_claims.h
+++ b/linnetlane/claim/fake_claims.h
@@ -18,8 +18,8 @@
 
 #include "linnetlane/claim/keeper.h"
 #include "linnetlane/claim/record.h"
+#include "linnetlane/coordination/fake_store.h"
 #include "linnetlane/membership/fake_timeline.h"
-#include "linnetlane/platform/fake_store.h"
 
 namespace linnetlane::claim {
 
@@ -113,7 +113,7 @@
     bool platform_down = false;
     bool entries_settle = true;
     std::map<std::size_t, std::shared_ptr<keeper>> keepers;
-    platform::fake_store store_state;
+    coordination::fake_store store_state;
     std::map<question_number, fake_call> requests;
     std::size_t writes = 0;
     // The most bytes of a value that a keeper wrote.
@@ -181,8 +181,8 @@
         }
     }
     auto call(std::size_t from, std::shared_ptr<keeper> const& process,
-              platform::store_call const& wanted) -> void {
-        if (auto const* const swap = std::get_if<platform::compare_and_swap>(&wanted)) {
+              coordination::store_call const& wanted) -> void {
+        if (auto const* const swap = std::get_if<coordination::compare_and_swap>(&wanted)) {
             ++this->writes;
             for (auto const& extra : swap->extra) {
                 auto const size = extra.value.value_or("").size();
@@ -190,7 +190,7 @@
             }
         }
         auto const number = std::visit([](auto const& each) { return each.call; }, wanted);
-        auto const back = [this, from, process](platform::store_answer const& answer) {
+        auto const back = [this, from, process](coordination::store_answer const& answer) {
             this->time.after(this->delay(), [this, from, process, answer] {
                 if (this->keepers.at(from) == process) {
                     this->step(from, store_answered{answer, this->wall()});
@@ -198,14 +198,14 @@
             });
         };
         if (this->platform_down) {
-            back(platform::call_failed{number, platform::call_reach::not_run});
+            back(coordination::call_failed{number, coordination::call_reach::not_run});
             return;
         }
         // A call whose answer is given up may take effect long after.
         auto const late = this->chance(this->faults.lost_answers);
         auto const never = this->chance(this->faults.lost_calls);
         if (late || never) {
-            back(platform::call_failed{number, platform::call_reach::may_have_run});
+            back(coordination::call_failed{number, coordination::call_reach::may_have_run});
         }
         if (never) {
             return;
--- a/linnetlane/claim/keeper.h
+++ b/linnetlane/claim/keeper.h
@@ -43,7 +43,7 @@
     std::map<base::host_id, base::incarnation> present;
     // The wall clock at the last event that told it.
     wall_time wall;
-    platform::call_number last_call;
+    coordination::call_number last_call;
     std::vector<command> commands;
 };
 
--- a/linnetlane/claim/keeper_test.cpp
+++ b/linnetlane/claim/keeper_test.cpp
@@ -119,7 +119,7 @@
     BOOST_TEST(!request.ran);
     claims.platform_down = false;
     claims.time.run_for(5s);
-    BOOST_TEST(claims.store_state.written() == platform::revision{});
+    BOOST_TEST(claims.store_state.written() == coordination::revision{});
 }
 
 BOOST_AUTO_TEST_CASE(a_call_that_was_not_sent_frees_its_key) {
--- a/linnetlane/claim/messages.h
+++ b/linnetlane/claim/messages.h
@@ -17,7 +17,7 @@
 
 #include "linnetlane/base/ids.h"
 #include "linnetlane/base/time.h"
-#include "linnetlane/platform/store.h"
+#include "linnetlane/coordination/store.h"
 
 namespace linnetlane::claim {
 
@@ -132,7 +132,7 @@
 
 // The platform answered a call of this package.
 struct store_answered {
-    platform::store_answer answer;
+    coordination::store_answer answer;
     // The wall clock now.
     wall_time wall;
 };
@@ -162,7 +162,7 @@
 
 // Makes a call on the platform.
 struct call_store {
-    platform::store_call call;
+    coordination::store_call call;
 };
 
 using command = std::variant<reply, call_store>;
--- a/linnetlane/claim/shard_keeper.cpp
+++ b/linnetlane/claim/shard_keeper.cpp
@@ -65,19 +65,21 @@
     }
 }
 
-auto shard_keeper::handle(platform::store_answer const& answer, keeper_context& context) -> bool {
+auto shard_keeper::handle(coordination::store_answer const& answer, keeper_context& context)
+    -> bool {
     auto const busy = this->stage == stage::reading || this->stage == stage::writing;
     auto const answered = std::visit([](auto const& each) { return each.call; }, answer);
     if (!busy || answered != this->call) {
         return false;
     }
-    std::visit(base::overloaded{
-                   [&](platform::entries_read const& read) { this->on_read(read, context); },
-                   [&](platform::swap_answer const& swap) { this->on_written(swap, context); },
-                   [&](platform::call_failed const& failed) { this->on_failed(failed, context); },
-                   [](auto const& /*other*/) {},
-               },
-               answer);
+    std::visit(
+        base::overloaded{
+            [&](coordination::entries_read const& read) { this->on_read(read, context); },
+            [&](coordination::swap_answer const& swap) { this->on_written(swap, context); },
+            [&](coordination::call_failed const& failed) { this->on_failed(failed, context); },
+            [](auto const& /*other*/) {},
+        },
+        answer);
     return true;
 }
 
@@ -160,10 +162,11 @@
     this->stage = stage::reading;
     this->call = context.last_call = context.last_call.next();
     context.commands.emplace_back(
-        call_store{platform::read_prefix{this->call, shard_prefix(this->shard)}});
+        call_store{coordination::read_prefix{this->call, shard_prefix(this->shard)}});
 }
 
-auto shard_keeper::on_read(platform::entries_read const& answer, keeper_context& context) -> void {
+auto shard_keeper::on_read(coordination::entries_read const& answer, keeper_context& context)
+    -> void {
     auto parsed = shard_log::parse(this->shard, answer.entries);
     if (!parsed) {
         this->stage = stage::unread;
@@ -180,7 +183,7 @@
     this->stage = stage::idle;
 }
 
-auto shard_keeper::on_written(platform::swap_answer const& answer, keeper_context& context)
+auto shard_keeper::on_written(coordination::swap_answer const& answer, keeper_context& context)
     -> void {
     if (!answer.swapped) {
         // Another keeper wrote, or this write did before its answer was lost.
@@ -200,9 +203,10 @@
     }
 }
 
-auto shard_keeper::on_failed(platform::call_failed const& failed, keeper_context& context) -> void {
+auto shard_keeper::on_failed(coordination::call_failed const& failed, keeper_context& context)
+    -> void {
     auto const was_write = this->stage == stage::writing;
-    auto const written = was_write && failed.reach == platform::call_reach::may_have_run;
+    auto const written = was_write && failed.reach == coordination::call_reach::may_have_run;
     this->put_back_batch(written);
     this->stage = written ? stage::unread : this->stage;
     if (this->stage == stage::reading) {
--- a/linnetlane/claim/shard_keeper.h
+++ b/linnetlane/claim/shard_keeper.h
@@ -20,7 +20,7 @@
 #include "linnetlane/claim/messages.h"
 #include "linnetlane/claim/record.h"
 #include "linnetlane/claim/shard_log.h"
-#include "linnetlane/platform/store.h"
+#include "linnetlane/coordination/store.h"
 
 namespace linnetlane::claim {
 
@@ -31,7 +31,7 @@
     base::time_point now;
     wall_time wall;
     std::map<base::host_id, base::incarnation> const& present;
-    platform::call_number& last_call;
+    coordination::call_number& last_call;
     std::vector<command>& commands;
 };
 
@@ -43,7 +43,7 @@
 
     auto ask(question const& asked, keeper_context& context) -> void;
     // Whether the answer was to one of this shard's calls.
-    auto handle(platform::store_answer const& answer, keeper_context& context) -> bool;
+    auto handle(coordination::store_answer const& answer, keeper_context& context) -> bool;
     auto run_due(keeper_context& context) -> void;
     // Sends all that ask to the shard's next keeper.
     auto give_up(keeper_context& context) -> void;
@@ -63,9 +63,9 @@
     auto reply_if_known(claim_question const& asked, keeper_context& context) -> bool;
     auto refresh_if_under_way(claim_question const& asked, keeper_context& context) -> void;
     auto read(keeper_context& context) -> void;
-    auto on_read(platform::entries_read const& answer, keeper_context& context) -> void;
-    auto on_written(platform::swap_answer const& answer, keeper_context& context) -> void;
-    auto on_failed(platform::call_failed const& failed, keeper_context& context) -> void;
+    auto on_read(coordination::entries_read const& answer, keeper_context& context) -> void;
+    auto on_written(coordination::swap_answer const& answer, keeper_context& context) -> void;
+    auto on_failed(coordination::call_failed const& failed, keeper_context& context) -> void;
     auto write_batch(keeper_context& context) -> void;
     auto fill_batch(keeper_context& context) -> void;
     auto write(keeper_context& context) -> void;
@@ -83,7 +83,7 @@
     limits bounds;
     std::string writer_name;
     shard_keeper::stage stage = stage::unread;
-    platform::call_number call;
+    coordination::call_number call;
     shard_log log;
     std::vector<waiting_question> waiting;
     // The questions and records of the write under way, and its id and time.
--- a/linnetlane/claim/shard_log.cpp
+++ b/linnetlane/claim/shard_log.cpp
@@ -16,7 +16,7 @@
 
 }  // namespace
 
-auto shard_log::parse(shard_number shard, std::vector<platform::entry> const& entries)
+auto shard_log::parse(shard_number shard, std::vector<coordination::entry> const& entries)
     -> std::optional<shard_log> {
     auto log = shard_log{};
     for (auto const& entry : entries) {
@@ -54,14 +54,14 @@
 
 auto shard_log::write_of(shard_number shard, std::vector<record> const& updates,
                          std::string write_id, wall_time wall, limits const& bounds) const
-    -> platform::compare_and_swap {
+    -> coordination::compare_and_swap {
     auto const open = this->next_open(bounds);
     auto records = std::vector<record>{};
     if (auto const found = this->segments.find(open); found != this->segments.end()) {
         records = found->second.records;
     }
     records.insert(records.end(), updates.begin(), updates.end());
-    auto write = platform::compare_and_swap{};
+    auto write = coordination::compare_and_swap{};
     write.key = head_key(shard);
     write.expected = this->modified;
     write.value = to_value(shard_head{this->last.sequence + 1, open, std::move(write_id)});
@@ -73,7 +73,7 @@
 }
 
 auto shard_log::commit(std::vector<record> const& updates, std::string write_id,
-                       platform::revision at, wall_time wall, limits const& bounds) -> void {
+                       coordination::revision at, wall_time wall, limits const& bounds) -> void {
     auto const open = this->next_open(bounds);
     for (auto const number : this->expired_segments(wall, bounds)) {
         this->remove(number);
--- a/linnetlane/claim/shard_log.h
+++ b/linnetlane/claim/shard_log.h
@@ -15,7 +15,7 @@
 #include "linnetlane/claim/limits.h"
 #include "linnetlane/claim/messages.h"
 #include "linnetlane/claim/record.h"
-#include "linnetlane/platform/store.h"
+#include "linnetlane/coordination/store.h"
 
 namespace linnetlane::claim {
 
@@ -26,7 +26,7 @@
 
     // The log that `entries`, all keys of the shard, hold; nothing if one can't be read, since a
     // claim might hide in it.
-    static auto parse(shard_number shard, std::vector<platform::entry> const& entries)
+    static auto parse(shard_number shard, std::vector<coordination::entry> const& entries)
         -> std::optional<shard_log>;
 
     // The record of a key that is still kept, or null.
@@ -36,9 +36,9 @@
     // of which nothing is kept any more.
     [[nodiscard]] auto write_of(shard_number shard, std::vector<record> const& updates,
                                 std::string write_id, wall_time wall, limits const& bounds) const
-        -> platform::compare_and_swap;
+        -> coordination::compare_and_swap;
     // Takes in a write that was made by `write_of` with the same arguments.
-    auto commit(std::vector<record> const& updates, std::string write_id, platform::revision at,
+    auto commit(std::vector<record> const& updates, std::string write_id, coordination::revision at,
                 wall_time wall, limits const& bounds) -> void;
     // The records of `earlier` that are missing here: the platform was restored from an old copy.
     [[nodiscard]] auto missing_from(shard_log const& earlier) const -> std::vector<record>;
@@ -60,7 +60,7 @@
     auto remove(std::uint64_t number) -> void;
 
     shard_head last;
-    platform::revision modified;
+    coordination::revision modified;
     std::map<std::uint64_t, segment> segments;
     // Where the latest record of a key is.
     std::map<record_key, std::pair<std::uint64_t, std::size_t>> places;
--- a/linnetlane/platform/etcd_json.cpp
+++ b/linnetlane/coordination/etcd_json.cpp
@@ -1,4 +1,4 @@
-#include "linnetlane/platform/etcd_json.h"
+#include "linnetlane/coordination/etcd_json.h"
 
 #include <charconv>
 #include <chrono>
@@ -10,7 +10,7 @@
 
 #include "linnetlane/base/base64.h"
 
-namespace linnetlane::platform {
+namespace linnetlane::coordination {
 
 namespace {
 
@@ -246,4 +246,4 @@
     });
 }
 
-}  // namespace linnetlane::platform
+}  // namespace linnetlane::coordination
--- a/linnetlane/platform/etcd_json.h
+++ b/linnetlane/coordination/etcd_json.h
@@ -2,17 +2,17 @@
 //
 // Keys and values are base64, 64-bit numbers are strings.
 
-#ifndef LINNETLANE_PLATFORM_ETCD_JSON_H_
-#define LINNETLANE_PLATFORM_ETCD_JSON_H_
+#ifndef LINNETLANE_COORDINATION_ETCD_JSON_H_
+#define LINNETLANE_COORDINATION_ETCD_JSON_H_
 
 #include <string>
 #include <string_view>
 #include <vector>
 
 #include "linnetlane/base/result.h"
-#include "linnetlane/platform/store.h"
+#include "linnetlane/coordination/store.h"
 
-namespace linnetlane::platform {
+namespace linnetlane::coordination {
 
 // A POST to the gateway.
 struct gateway_request {
@@ -40,6 +40,6 @@
 // One line of a watch. `watch_ended` if the gateway cancelled it; no changes for other notices.
 [[nodiscard]] auto parse_watch_line(call_number call, std::string_view text) -> gateway_answer;
 
-}  // namespace linnetlane::platform
+}  // namespace linnetlane::coordination
 
-#endif  // LINNETLANE_PLATFORM_ETCD_JSON_H_
+#endif  // LINNETLANE_COORDINATION_ETCD_JSON_H_
--- a/linnetlane/platform/etcd_json_test.cpp
+++ b/linnetlane/coordination/etcd_json_test.cpp
@@ -1,11 +1,11 @@
-#include "linnetlane/platform/etcd_json.h"
+#include "linnetlane/coordination/etcd_json.h"
 
 #include <string>
 
 #include <rapidcheck/boost_test.h>
 #include <boost/test/unit_test.hpp>
 
-namespace linnetlane::platform {
+namespace linnetlane::coordination {
 namespace {
 
 constexpr auto number = call_number{7};
@@ -83,4 +83,4 @@
 }
 
 }  // namespace
-}  // namespace linnetlane::platform
+}  // namespace linnetlane::coordination
--- a/linnetlane/platform/etcd_store.cpp
+++ b/linnetlane/coordination/etcd_store.cpp
@@ -1,4 +1,4 @@
-#include "linnetlane/platform/etcd_store.h"
+#include "linnetlane/coordination/etcd_store.h"
 
 #include <atomic>
 #include <map>
@@ -8,10 +8,10 @@
 #include <utility>
 
 #include "linnetlane/base/result.h"
-#include "linnetlane/platform/etcd_json.h"
+#include "linnetlane/coordination/etcd_json.h"
 #include "linnetlane/runtime/http.h"
 
-namespace linnetlane::platform {
+namespace linnetlane::coordination {
 
 namespace {
 
@@ -257,7 +257,7 @@
             [&](auto const& one) -> store_answer {
                 using kind = std::decay_t<decltype(one)>;
                 if constexpr (std::is_same_v<kind, watch_prefix> ||
-                              std::is_same_v<kind, platform::stop_watch>) {
+                              std::is_same_v<kind, coordination::stop_watch>) {
                     return call_failed{one.call, call_reach::not_run};
                 } else {
                     return self->run(one);
@@ -269,4 +269,4 @@
     });
 }
 
-}  // namespace linnetlane::platform
+}  // namespace linnetlane::coordination
--- a/linnetlane/platform/etcd_store.h
+++ b/linnetlane/coordination/etcd_store.h
@@ -6,8 +6,8 @@
 // Answers come from a fiber of the pool. Each call ends in exactly one answer; a watch in any
 // number of `watch_changes` and then `watch_ended`, unless it was stopped.
 
-#ifndef LINNETLANE_PLATFORM_ETCD_STORE_H_
-#define LINNETLANE_PLATFORM_ETCD_STORE_H_
+#ifndef LINNETLANE_COORDINATION_ETCD_STORE_H_
+#define LINNETLANE_COORDINATION_ETCD_STORE_H_
 
 #include <concepts>
 #include <functional>
@@ -16,10 +16,10 @@
 
 #include "linnetlane/base/endpoint.h"
 #include "linnetlane/base/time.h"
-#include "linnetlane/platform/store.h"
+#include "linnetlane/coordination/store.h"
 #include "linnetlane/runtime/worker_pool.h"
 
-namespace linnetlane::platform {
+namespace linnetlane::coordination {
 
 using answer_sink = std::function<void(store_answer const&)>;
 
@@ -52,6 +52,6 @@
 
 static_assert(key_value_store<etcd_store>);
 
-}  // namespace linnetlane::platform
+}  // namespace linnetlane::coordination
 
-#endif  // LINNETLANE_PLATFORM_ETCD_STORE_H_
+#endif  // LINNETLANE_COORDINATION_ETCD_STORE_H_
--- a/linnetlane/platform/fake_store.h
+++ b/linnetlane/coordination/fake_store.h
@@ -1,8 +1,8 @@
 // The platform's key-value service in memory, for tests of decision code. Answers at once; what is
 // lost or late on the way there and back is the test's business.
 
-#ifndef LINNETLANE_PLATFORM_FAKE_STORE_H_
-#define LINNETLANE_PLATFORM_FAKE_STORE_H_
+#ifndef LINNETLANE_COORDINATION_FAKE_STORE_H_
+#define LINNETLANE_COORDINATION_FAKE_STORE_H_
 
 #include <cstddef>
 #include <map>
@@ -15,9 +15,9 @@
 
 #include "linnetlane/base/result.h"
 #include "linnetlane/base/time.h"
-#include "linnetlane/platform/store.h"
+#include "linnetlane/coordination/store.h"
 
-namespace linnetlane::platform {
+namespace linnetlane::coordination {
 
 // Thread-compatible. A copy is a backup: assign it back to restore the store from it.
 class fake_store {
@@ -144,6 +144,6 @@
     revision head;
 };
 
-}  // namespace linnetlane::platform
+}  // namespace linnetlane::coordination
 
-#endif  // LINNETLANE_PLATFORM_FAKE_STORE_H_
+#endif  // LINNETLANE_COORDINATION_FAKE_STORE_H_
--- a/linnetlane/platform/store.h
+++ b/linnetlane/coordination/store.h
@@ -4,8 +4,8 @@
 // the adapter in between does the I/O. A call whose answer was lost ends as `call_failed` with
 // `may_have_run`, and its maker settles it by reading back.
 
-#ifndef LINNETLANE_PLATFORM_STORE_H_
-#define LINNETLANE_PLATFORM_STORE_H_
+#ifndef LINNETLANE_COORDINATION_STORE_H_
+#define LINNETLANE_COORDINATION_STORE_H_
 
 #include <cstdint>
 #include <optional>
@@ -16,7 +16,7 @@
 #include "linnetlane/base/ids.h"
 #include "linnetlane/base/time.h"
 
-namespace linnetlane::platform {
+namespace linnetlane::coordination {
 
 // Counts the writes of the whole store; of a key, the write that set it last. 0: no such key.
 using revision = base::basic_number<struct revision_tag>;
@@ -30,7 +30,7 @@
     std::string key;
     std::string value;
     // The write that set the value.
-    platform::revision modified;
+    coordination::revision modified;
 
     friend auto operator==(entry const&, entry const&) -> bool = default;
 };
@@ -60,7 +60,7 @@
 struct compare_and_swap {
     call_number call;
     std::string key;
-    platform::revision expected;
+    coordination::revision expected;
     std::string value;
     // The key goes when this lease ends.
     std::optional<lease_number> lease;
@@ -71,7 +71,7 @@
 struct watch_prefix {
     call_number call;
     std::string prefix;
-    platform::revision first;
+    coordination::revision first;
 };
 
 // Ends the watch that was begun as `call`.
@@ -107,7 +107,7 @@
     call_number call;
     std::vector<entry> entries;
     // The store's last write at the time of reading.
-    platform::revision at;
+    coordination::revision at;
 };
 
 // Of `compare_and_swap`.
@@ -116,7 +116,7 @@
     // False: the last write was not the expected one, and nothing was written.
     bool swapped = false;
     // The write that was made.
-    platform::revision at;
+    coordination::revision at;
     // Without a swap, what the key holds instead, if anything.
     std::optional<entry> current;
 };
@@ -157,6 +157,6 @@
 using store_answer = std::variant<entries_read, swap_answer, watch_changes, watch_ended,
                                   lease_granted, lease_kept, call_failed>;
 
-}  // namespace linnetlane::platform
+}  // namespace linnetlane::coordination
 
-#endif  // LINNETLANE_PLATFORM_STORE_H_
+#endif  // LINNETLANE_COORDINATION_STORE_H_
--- a/linnetlane/daemon/claim_keeper_service.cpp
+++ b/linnetlane/daemon/claim_keeper_service.cpp
@@ -16,7 +16,7 @@
     return "claims/" + std::to_string(shard.value);
 }
 
-claim_keeper_service::claim_keeper_service(platform::etcd_store& store, std::string writer,
+claim_keeper_service::claim_keeper_service(coordination::etcd_store& store, std::string writer,
                                            claim_reply_hook own_reply)
     : platform_store(store),
       reply(std::move(own_reply)),
@@ -51,9 +51,10 @@
     auto const perform = base::overloaded{
         [&](claim::reply const& command) { this->reply(command.to, command.message); },
         [&](claim::call_store const& command) {
-            this->platform_store.call(command.call, [this](platform::store_answer const& answer) {
-                this->handle(claim::store_answered{answer, wall_now()});
-            });
+            this->platform_store.call(command.call,
+                                      [this](coordination::store_answer const& answer) {
+                                          this->handle(claim::store_answered{answer, wall_now()});
+                                      });
         },
     };
     for (auto const& command : this->keeper.handle(event, base::monotonic_clock::now())) {
--- a/linnetlane/daemon/claim_keeper_service.h
+++ b/linnetlane/daemon/claim_keeper_service.h
@@ -14,8 +14,8 @@
 
 #include "linnetlane/base/ids.h"
 #include "linnetlane/claim/keeper.h"
+#include "linnetlane/coordination/etcd_store.h"
 #include "linnetlane/daemon/ticker.h"
-#include "linnetlane/platform/etcd_store.h"
 #include "linnetlane/runtime/worker_pool.h"
 
 namespace linnetlane::daemon {
@@ -29,7 +29,8 @@
 class claim_keeper_service {
 public:
     // `writer` is unique for this start of the host.
-    claim_keeper_service(platform::etcd_store& store, std::string writer, claim_reply_hook reply);
+    claim_keeper_service(coordination::etcd_store& store, std::string writer,
+                         claim_reply_hook reply);
 
     auto start(runtime::worker_pool& pool) -> void;
     auto ask(claim_or_settle const& question) -> void;
@@ -40,7 +41,7 @@
     auto handle(claim::event const& event) -> void;
     auto run(claim::event const& event) -> void;
 
-    platform::etcd_store& platform_store;
+    coordination::etcd_store& platform_store;
     claim_reply_hook reply;
     std::mutex mutex;
     // Guarded by `mutex`.
--- a/linnetlane/daemon/document_service.cpp
+++ b/linnetlane/daemon/document_service.cpp
@@ -29,7 +29,7 @@
 
 }  // namespace
 
-document_service::document_service(platform::etcd_store& platform, document_hooks own_hooks)
+document_service::document_service(coordination::etcd_store& platform, document_hooks own_hooks)
     : platform_store(platform),
       hooks(std::move(own_hooks)),
       store(find_fault, std::random_device{}()) {}
@@ -70,8 +70,8 @@
                command);
 }
 
-auto document_service::call(platform::store_call const& call) -> void {
-    this->platform_store.call(call, [this](platform::store_answer const& answer) {
+auto document_service::call(coordination::store_call const& call) -> void {
+    this->platform_store.call(call, [this](coordination::store_answer const& answer) {
         this->handle(document::store_answered{answer});
     });
 }
--- a/linnetlane/daemon/document_service.h
+++ b/linnetlane/daemon/document_service.h
@@ -19,9 +19,9 @@
 #include <boost/fiber/future.hpp>
 
 #include "linnetlane/base/ids.h"
+#include "linnetlane/coordination/etcd_store.h"
 #include "linnetlane/daemon/ticker.h"
 #include "linnetlane/document/store.h"
-#include "linnetlane/platform/etcd_store.h"
 #include "linnetlane/runtime/worker_pool.h"
 
 namespace linnetlane::daemon {
@@ -42,7 +42,7 @@
 // Thread-safe. Outlives the pool's fibers.
 class document_service {
 public:
-    document_service(platform::etcd_store& store, document_hooks hooks);
+    document_service(coordination::etcd_store& store, document_hooks hooks);
 
     auto start(runtime::worker_pool& pool) -> void;
     auto handle(document::event const& event) -> void;
@@ -64,13 +64,13 @@
 
     auto run(document::event const& event) -> void;
     auto perform(document::command const& command) -> void;
-    auto call(platform::store_call const& call) -> void;
+    auto call(coordination::store_call const& call) -> void;
     auto answer(document::apply_number number, operator_outcome const& outcome) -> void;
     // Hands the event that `make` builds for a new number to the store and waits for its outcome.
     template <typename Make>
     auto ask(Make make) -> operator_outcome;
 
-    platform::etcd_store& platform_store;
+    coordination::etcd_store& platform_store;
     document_hooks hooks;
     mutable std::mutex mutex;
     // Guarded by `mutex`, with all that follows.
--- a/linnetlane/daemon/host_hooks.cpp
+++ b/linnetlane/daemon/host_hooks.cpp
@@ -7,27 +7,27 @@
 
 namespace {
 
-auto operation_of(platform::store_call const& call) -> telemetry::platform_operation {
+auto operation_of(coordination::store_call const& call) -> telemetry::platform_operation {
     using telemetry::platform_operation;
     return std::visit(
         base::overloaded{
-            [](platform::read_key const&) { return platform_operation::read; },
-            [](platform::read_prefix const&) { return platform_operation::read; },
-            [](platform::compare_and_swap const&) { return platform_operation::swap; },
-            [](platform::watch_prefix const&) { return platform_operation::watch; },
-            [](platform::stop_watch const&) { return platform_operation::watch; },
+            [](coordination::read_key const&) { return platform_operation::read; },
+            [](coordination::read_prefix const&) { return platform_operation::read; },
+            [](coordination::compare_and_swap const&) { return platform_operation::swap; },
+            [](coordination::watch_prefix const&) { return platform_operation::watch; },
+            [](coordination::stop_watch const&) { return platform_operation::watch; },
             [](auto const&) { return platform_operation::lease; },
         },
         call);
 }
 
-auto outcome_of(platform::call_outcome outcome) -> telemetry::call_outcome {
+auto outcome_of(coordination::call_outcome outcome) -> telemetry::call_outcome {
     switch (outcome) {
-        case platform::call_outcome::answered:
+        case coordination::call_outcome::answered:
             return telemetry::call_outcome::done;
-        case platform::call_outcome::not_run:
+        case coordination::call_outcome::not_run:
             return telemetry::call_outcome::not_run;
-        case platform::call_outcome::may_have_run:
+        case coordination::call_outcome::may_have_run:
             break;
     }
     return telemetry::call_outcome::unknown;
@@ -35,8 +35,8 @@
 
 }  // namespace
 
-auto host::state::platform_counter() -> platform::call_counter {
-    return [this](platform::store_call const& call, platform::call_outcome outcome,
+auto host::state::platform_counter() -> coordination::call_counter {
+    return [this](coordination::store_call const& call, coordination::call_outcome outcome,
                   base::duration took) {
         this->metrics.count_platform_call(operation_of(call), outcome_of(outcome), took);
     };
--- a/linnetlane/daemon/host_state.h
+++ b/linnetlane/daemon/host_state.h
@@ -15,6 +15,7 @@
 #include <string>
 #include <vector>
 
+#include "linnetlane/coordination/etcd_store.h"
 #include "linnetlane/daemon/address_book.h"
 #include "linnetlane/daemon/cell_client.h"
 #include "linnetlane/daemon/claim_keeper_service.h"
@@ -29,7 +30,6 @@
 #include "linnetlane/daemon/operator_service.h"
 #include "linnetlane/daemon/peer_network.h"
 #include "linnetlane/daemon/plain_entry.h"
-#include "linnetlane/platform/etcd_store.h"
 #include "linnetlane/runtime/http.h"
 #include "linnetlane/runtime/tls.h"
 #include "linnetlane/telemetry/log.h"
@@ -61,8 +61,8 @@
 
     address_book addresses;
     // Call numbers are unique for one store, so each package that calls has its own.
-    platform::etcd_store store;
-    platform::etcd_store claim_store;
+    coordination::etcd_store store;
+    coordination::etcd_store claim_store;
     document_table parsed;
     generation_tracker generations;
     std::unique_ptr<membership_service> membership;
@@ -91,7 +91,7 @@
 
     // ---- Hooks ----
 
-    auto platform_counter() -> platform::call_counter;
+    auto platform_counter() -> coordination::call_counter;
     auto hooks_of_membership() -> membership_hooks;
     auto hooks_of_documents() -> document_hooks;
     auto hooks_of_keepers() -> keeper_hooks;
--- a/linnetlane/document/applier.cpp
+++ b/linnetlane/document/applier.cpp
@@ -51,12 +51,12 @@
 }
 
 auto applier::begin(history const& wanted, outbox& out) -> void {
-    auto const call = out.call(platform::read_prefix{{}, history_prefix_of(wanted.service)});
+    auto const call = out.call(coordination::read_prefix{{}, history_prefix_of(wanted.service)});
     this->histories[call] = wanted;
 }
 
-auto applier::handle(platform::store_answer const& answer, base::time_point now, acceptor& versions,
-                     random_generator& random, outbox& out) -> bool {
+auto applier::handle(coordination::store_answer const& answer, base::time_point now,
+                     acceptor& versions, random_generator& random, outbox& out) -> bool {
     if (this->answer_history(answer, out)) {
         return true;
     }
@@ -65,18 +65,19 @@
     if (each == this->under_way.end()) {
         return false;
     }
-    std::visit(
-        base::overloaded{
-            [&](platform::entries_read const& read) { this->on_read(each, read, versions, out); },
-            [&](platform::swap_answer const& swapped) {
-                this->on_swap(each, swapped, versions, out);
-            },
-            [&](platform::call_failed const& failed) {
-                this->on_failure(each, failed, now, random, out);
-            },
-            [](auto const& /*other*/) {},
-        },
-        answer);
+    std::visit(base::overloaded{
+                   [&](coordination::entries_read const& read) {
+                       this->on_read(each, read, versions, out);
+                   },
+                   [&](coordination::swap_answer const& swapped) {
+                       this->on_swap(each, swapped, versions, out);
+                   },
+                   [&](coordination::call_failed const& failed) {
+                       this->on_failure(each, failed, now, random, out);
+                   },
+                   [](auto const& /*other*/) {},
+               },
+               answer);
     return true;
 }
 
@@ -98,7 +99,7 @@
     return next;
 }
 
-auto applier::find(platform::call_number call) -> operations::iterator {
+auto applier::find(coordination::call_number call) -> operations::iterator {
     return std::find_if(this->under_way.begin(), this->under_way.end(), [&](auto const& each) {
         return each.second.call == call && each.second.stage != stage::settling;
     });
@@ -106,23 +107,23 @@
 
 auto applier::read_current(operation& each, outbox& out) -> void {
     each.stage = stage::reading;
-    each.call = out.call(platform::read_key{{}, current_key(each.request.service)});
+    each.call = out.call(coordination::read_key{{}, current_key(each.request.service)});
 }
 
-auto applier::on_read(operations::iterator each, platform::entries_read const& answer,
+auto applier::on_read(operations::iterator each, coordination::entries_read const& answer,
                       acceptor& versions, outbox& out) -> void {
     if (each->second.stage == stage::reading_history) {
         this->settle_by_history(each, answer, versions, out);
         return;
     }
-    auto stored = std::optional<platform::entry>{};
+    auto stored = std::optional<coordination::entry>{};
     if (!answer.entries.empty()) {
         stored = answer.entries.front();
     }
     this->decide(each, stored, versions, out);
 }
 
-auto applier::on_swap(operations::iterator each, platform::swap_answer const& answer,
+auto applier::on_swap(operations::iterator each, coordination::swap_answer const& answer,
                       acceptor& versions, outbox& out) -> void {
     if (answer.swapped) {
         this->succeed(each, versions, out);
@@ -131,11 +132,11 @@
     this->decide(each, answer.current, versions, out);
 }
 
-auto applier::on_failure(operations::iterator each, platform::call_failed const& failed,
+auto applier::on_failure(operations::iterator each, coordination::call_failed const& failed,
                          base::time_point now, random_generator& random, outbox& out) -> void {
     auto& change = each->second;
     auto const was_swap = change.stage == stage::swapping;
-    if (was_swap && failed.reach == platform::call_reach::may_have_run) {
+    if (was_swap && failed.reach == coordination::call_reach::may_have_run) {
         change.uncertain = true;
     }
     if (!change.uncertain) {
@@ -149,7 +150,7 @@
     }
 }
 
-auto applier::decide(operations::iterator each, std::optional<platform::entry> const& stored,
+auto applier::decide(operations::iterator each, std::optional<coordination::entry> const& stored,
                      acceptor& versions, outbox& out) -> void {
     auto& change = each->second;
     auto const& service = change.request.service;
@@ -166,7 +167,7 @@
     if (change.uncertain && generation_of(current) > change.candidate.generation) {
         change.stage = stage::reading_history;
         auto const key = history_key(service, change.candidate.generation);
-        change.call = out.call(platform::read_key{{}, key});
+        change.call = out.call(coordination::read_key{{}, key});
         return;
     }
     if (!is_for(change.request, current)) {
@@ -177,14 +178,14 @@
         this->refuse(each, refusal::no_such_service, out);
         return;
     }
-    this->swap(change, current, stored ? stored->modified : platform::revision{}, out);
+    this->swap(change, current, stored ? stored->modified : coordination::revision{}, out);
 }
 
-auto applier::swap(operation& each, version const* current, platform::revision expected,
+auto applier::swap(operation& each, version const* current, coordination::revision expected,
                    outbox& out) -> void {
     each.stage = stage::swapping;
     each.candidate.generation = generation_of(current).next();
-    auto swap = platform::compare_and_swap{};
+    auto swap = coordination::compare_and_swap{};
     swap.key = current_key(each.request.service);
     swap.expected = expected;
     swap.value = to_value(each.candidate);
@@ -193,7 +194,7 @@
 }
 
 // Others may have replaced our version already; the history still has it then.
-auto applier::settle_by_history(operations::iterator each, platform::entries_read const& answer,
+auto applier::settle_by_history(operations::iterator each, coordination::entries_read const& answer,
                                 acceptor& versions, outbox& out) -> void {
     auto const& service = each->second.request.service;
     for (auto const& entry : answer.entries) {
@@ -226,7 +227,7 @@
     this->under_way.erase(each);
 }
 
-auto applier::answer_history(platform::store_answer const& answer, outbox& out) -> bool {
+auto applier::answer_history(coordination::store_answer const& answer, outbox& out) -> bool {
     auto const call = std::visit([](auto const& each) { return each.call; }, answer);
     auto const found = this->histories.find(call);
     if (found == this->histories.end()) {
@@ -234,7 +235,7 @@
     }
     auto const wanted = found->second;
     this->histories.erase(found);
-    auto const* const read = std::get_if<platform::entries_read>(&answer);
+    auto const* const read = std::get_if<coordination::entries_read>(&answer);
     if (read == nullptr) {
         out.add(refused{wanted.number, refusal::platform_unavailable, ""});
         return true;
--- a/linnetlane/document/applier.h
+++ b/linnetlane/document/applier.h
@@ -13,11 +13,11 @@
 
 #include "linnetlane/base/ids.h"
 #include "linnetlane/base/time.h"
+#include "linnetlane/coordination/store.h"
 #include "linnetlane/document/acceptor.h"
 #include "linnetlane/document/backoff.h"
 #include "linnetlane/document/messages.h"
 #include "linnetlane/document/outbox.h"
-#include "linnetlane/platform/store.h"
 
 namespace linnetlane::document {
 
@@ -33,7 +33,7 @@
     auto begin(apply const& wanted, base::time_point now, acceptor& versions, outbox& out) -> void;
     auto begin(history const& wanted, outbox& out) -> void;
     // Whether the answer was to one of the applier's calls.
-    auto handle(platform::store_answer const& answer, base::time_point now, acceptor& versions,
+    auto handle(coordination::store_answer const& answer, base::time_point now, acceptor& versions,
                 random_generator& random, outbox& out) -> bool;
     auto run_due(base::time_point now, outbox& out) -> void;
     [[nodiscard]] auto next_deadline() const -> base::time_point;
@@ -43,7 +43,7 @@
     struct operation {
         apply request;
         applier::stage stage = stage::reading;
-        platform::call_number call;
+        coordination::call_number call;
         // Whether a swap was sent whose answer was lost.
         bool uncertain = false;
         version candidate;
@@ -53,27 +53,27 @@
     };
     using operations = std::map<apply_number, operation>;
 
-    auto find(platform::call_number call) -> operations::iterator;
+    auto find(coordination::call_number call) -> operations::iterator;
     auto read_current(operation& each, outbox& out) -> void;
-    auto on_read(operations::iterator each, platform::entries_read const& answer,
+    auto on_read(operations::iterator each, coordination::entries_read const& answer,
                  acceptor& versions, outbox& out) -> void;
-    auto on_swap(operations::iterator each, platform::swap_answer const& answer, acceptor& versions,
-                 outbox& out) -> void;
-    auto on_failure(operations::iterator each, platform::call_failed const& failed,
+    auto on_swap(operations::iterator each, coordination::swap_answer const& answer,
+                 acceptor& versions, outbox& out) -> void;
+    auto on_failure(operations::iterator each, coordination::call_failed const& failed,
                     base::time_point now, random_generator& random, outbox& out) -> void;
-    auto decide(operations::iterator each, std::optional<platform::entry> const& stored,
+    auto decide(operations::iterator each, std::optional<coordination::entry> const& stored,
                 acceptor& versions, outbox& out) -> void;
-    auto swap(operation& each, version const* current, platform::revision expected, outbox& out)
+    auto swap(operation& each, version const* current, coordination::revision expected, outbox& out)
         -> void;
-    auto settle_by_history(operations::iterator each, platform::entries_read const& answer,
+    auto settle_by_history(operations::iterator each, coordination::entries_read const& answer,
                            acceptor& versions, outbox& out) -> void;
     auto succeed(operations::iterator each, acceptor& versions, outbox& out) -> void;
     auto lose(operations::iterator each, version const* current, outbox& out) -> void;
     auto refuse(operations::iterator each, refusal reason, outbox& out) -> void;
-    auto answer_history(platform::store_answer const& answer, outbox& out) -> bool;
+    auto answer_history(coordination::store_answer const& answer, outbox& out) -> bool;
 
     operations under_way;
-    std::map<platform::call_number, history> histories;
+    std::map<coordination::call_number, history> histories;
 };
 
 }  // namespace linnetlane::document
--- a/linnetlane/document/fake_hosts.h
+++ b/linnetlane/document/fake_hosts.h
@@ -16,9 +16,9 @@
 #include <variant>
 #include <vector>
 
+#include "linnetlane/coordination/fake_store.h"
 #include "linnetlane/document/store.h"
 #include "linnetlane/membership/fake_timeline.h"
-#include "linnetlane/platform/fake_store.h"
 
 namespace linnetlane::document {
 
@@ -103,14 +103,14 @@
     }
     // The platform comes back with what it held in `backup`. Watches break, or wait for writes
     // that were made before.
-    auto restore(platform::fake_store const& backup, bool watches_break = true) -> void {
+    auto restore(coordination::fake_store const& backup, bool watches_break = true) -> void {
         this->store_state = backup;
         if (!watches_break) {
             return;
         }
         for (auto const& watch : std::exchange(this->watches, {})) {
             this->step_later(watch.host, watch.process,
-                             store_answered{platform::watch_ended{watch.call}});
+                             store_answered{coordination::watch_ended{watch.call}});
         }
     }
 
@@ -127,7 +127,7 @@
     std::set<std::size_t> cut_from_platform;
     std::set<std::size_t> cut_from_peers;
     std::map<std::size_t, host_state> hosts;
-    platform::fake_store store_state;
+    coordination::fake_store store_state;
     std::size_t calls = 0;
     std::size_t texts_pushed = 0;
     std::size_t messages = 0;
@@ -141,9 +141,9 @@
     struct watch_state {
         std::size_t host;
         std::shared_ptr<store> process;
-        platform::call_number call;
+        coordination::call_number call;
         std::string prefix;
-        platform::revision next;
+        coordination::revision next;
     };
 
     static auto name_of(std::size_t number) -> base::host_id { return {std::to_string(number)}; }
@@ -199,24 +199,24 @@
             this->step_later(to, this->hosts.at(to).process, received{name_of(from), sent.message});
         }
     }
-    auto call(std::size_t from, platform::store_call const& wanted) -> void {
+    auto call(std::size_t from, coordination::store_call const& wanted) -> void {
         ++this->calls;
         auto const process = this->hosts.at(from).process;
         this->time.after(this->delay(),
                          [this, from, process, wanted] { this->arrive(from, process, wanted); });
     }
     auto arrive(std::size_t from, std::shared_ptr<store> const& process,
-                platform::store_call const& wanted) -> void {
+                coordination::store_call const& wanted) -> void {
         auto const number = std::visit([](auto const& each) { return each.call; }, wanted);
         if (this->platform_down || this->cut_from_platform.contains(from)) {
-            this->fail(from, process, number, platform::call_reach::not_run);
+            this->fail(from, process, number, coordination::call_reach::not_run);
             return;
         }
         if (this->chance(this->faults.lost_calls)) {
-            this->fail(from, process, number, platform::call_reach::may_have_run);
+            this->fail(from, process, number, coordination::call_reach::may_have_run);
             return;
         }
-        if (auto const* const watch = std::get_if<platform::watch_prefix>(&wanted)) {
+        if (auto const* const watch = std::get_if<coordination::watch_prefix>(&wanted)) {
             this->watches.push_back({from, process, watch->call, watch->prefix, watch->first});
         }
         auto const answer = this->store_state.run(wanted, this->time.now());
@@ -225,14 +225,14 @@
             return;
         }
         if (this->chance(this->faults.lost_answers)) {
-            this->fail(from, process, number, platform::call_reach::may_have_run);
+            this->fail(from, process, number, coordination::call_reach::may_have_run);
             return;
         }
         this->step_later(from, process, store_answered{*answer});
     }
-    auto fail(std::size_t from, std::shared_ptr<store> const& process, platform::call_number number,
-              platform::call_reach reach) -> void {
-        this->step_later(from, process, store_answered{platform::call_failed{number, reach}});
+    auto fail(std::size_t from, std::shared_ptr<store> const& process,
+              coordination::call_number number, coordination::call_reach reach) -> void {
+        this->step_later(from, process, store_answered{coordination::call_failed{number, reach}});
     }
     auto tell_watches() -> void {
         auto broken = [&](watch_state const& watch) {
@@ -242,8 +242,9 @@
             for (auto const& entry : this->store_state.changes(watch.prefix, watch.next)) {
                 watch.next = entry.modified.next();
                 if (!broken(watch) && !this->chance(this->faults.lost_changes)) {
-                    this->step_later(watch.host, watch.process,
-                                     store_answered{platform::watch_changes{watch.call, {entry}}});
+                    this->step_later(
+                        watch.host, watch.process,
+                        store_answered{coordination::watch_changes{watch.call, {entry}}});
                 }
             }
         }
--- a/linnetlane/document/messages.h
+++ b/linnetlane/document/messages.h
@@ -11,7 +11,7 @@
 #include <vector>
 
 #include "linnetlane/base/ids.h"
-#include "linnetlane/platform/store.h"
+#include "linnetlane/coordination/store.h"
 
 namespace linnetlane::document {
 
@@ -96,7 +96,7 @@
 
 // The platform answered a call of this package.
 struct store_answered {
-    platform::store_answer answer;
+    coordination::store_answer answer;
 };
 
 // An operator wants `text` to take the place of generation `base`; 0 for a new service.
@@ -131,7 +131,7 @@
 
 // Makes a call on the platform.
 struct call_store {
-    platform::store_call call;
+    coordination::store_call call;
 };
 
 // A newer version is in force on this host.
--- a/linnetlane/document/outbox.h
+++ b/linnetlane/document/outbox.h
@@ -6,8 +6,8 @@
 #include <utility>
 #include <vector>
 
+#include "linnetlane/coordination/store.h"
 #include "linnetlane/document/messages.h"
-#include "linnetlane/platform/store.h"
 
 namespace linnetlane::document {
 
@@ -18,7 +18,7 @@
 
     // Makes a call on the platform under a new number, which it returns.
     template <typename Call>
-    auto call(Call wanted) -> platform::call_number {
+    auto call(Call wanted) -> coordination::call_number {
         this->last_call = this->last_call.next();
         wanted.call = this->last_call;
         this->commands.emplace_back(call_store{std::move(wanted)});
@@ -30,7 +30,7 @@
 
 private:
     std::vector<command> commands;
-    platform::call_number last_call;
+    coordination::call_number last_call;
 };
 
 }  // namespace linnetlane::document
--- a/linnetlane/document/reader.cpp
+++ b/linnetlane/document/reader.cpp
@@ -21,32 +21,32 @@
     }
     this->next_read = base::time_point::max();
     if (this->watching) {
-        out.call(platform::stop_watch{*this->watching});
+        out.call(coordination::stop_watch{*this->watching});
         this->watching.reset();
     }
 }
 
-auto reader::handle(platform::store_answer const& answer, base::time_point now, acceptor& versions,
-                    random_generator& random, outbox& out) -> bool {
-    auto const is = [](std::optional<platform::call_number> const& own,
-                       platform::call_number call) { return own && *own == call; };
+auto reader::handle(coordination::store_answer const& answer, base::time_point now,
+                    acceptor& versions, random_generator& random, outbox& out) -> bool {
+    auto const is = [](std::optional<coordination::call_number> const& own,
+                       coordination::call_number call) { return own && *own == call; };
     return std::visit(
         base::overloaded{
-            [&](platform::entries_read const& read) {
+            [&](coordination::entries_read const& read) {
                 if (!is(this->reading, read.call)) {
                     return false;
                 }
                 this->on_read(read, now, versions, random, out);
                 return true;
             },
-            [&](platform::watch_changes const& changes) {
+            [&](coordination::watch_changes const& changes) {
                 if (!is(this->watching, changes.call)) {
                     return false;
                 }
                 this->on_changes(changes, now, versions, random, out);
                 return true;
             },
-            [&](platform::swap_answer const& swap) {
+            [&](coordination::swap_answer const& swap) {
                 auto const same = [&](auto const& each) { return each.second == swap.call; };
                 if (std::none_of(this->restoring.begin(), this->restoring.end(), same)) {
                     return false;
@@ -54,10 +54,10 @@
                 this->on_restored(swap, now, random);
                 return true;
             },
-            [&](platform::watch_ended const& ended) {
+            [&](coordination::watch_ended const& ended) {
                 return this->on_lost(ended.call, now, random);
             },
-            [&](platform::call_failed const& failed) {
+            [&](coordination::call_failed const& failed) {
                 return this->on_lost(failed.call, now, random);
             },
             [](auto const& /*other*/) { return false; },
@@ -69,15 +69,15 @@
     if (!this->active || this->reading || now < this->next_read) {
         return;
     }
-    this->reading = out.call(platform::read_prefix{{}, std::string{current_prefix}});
+    this->reading = out.call(coordination::read_prefix{{}, std::string{current_prefix}});
 }
 
 auto reader::next_deadline() const -> base::time_point {
     return this->reading ? base::time_point::max() : this->next_read;
 }
 
-auto reader::on_read(platform::entries_read const& answer, base::time_point now, acceptor& versions,
-                     random_generator& random, outbox& out) -> void {
+auto reader::on_read(coordination::entries_read const& answer, base::time_point now,
+                     acceptor& versions, random_generator& random, outbox& out) -> void {
     this->reading.reset();
     this->read_once = true;
     this->retries.reset();
@@ -93,19 +93,19 @@
 }
 
 // A store that was restored has fewer writes than before; a watch would wait for the lost ones.
-auto reader::watch_from(platform::revision at, outbox& out) -> void {
+auto reader::watch_from(coordination::revision at, outbox& out) -> void {
     if (this->watching && at < this->last_read_at) {
-        out.call(platform::stop_watch{*this->watching});
+        out.call(coordination::stop_watch{*this->watching});
         this->watching.reset();
     }
     this->last_read_at = at;
     if (!this->watching) {
         this->watching =
-            out.call(platform::watch_prefix{{}, std::string{current_prefix}, at.next()});
+            out.call(coordination::watch_prefix{{}, std::string{current_prefix}, at.next()});
     }
 }
 
-auto reader::on_changes(platform::watch_changes const& answer, base::time_point now,
+auto reader::on_changes(coordination::watch_changes const& answer, base::time_point now,
                         acceptor& versions, random_generator& random, outbox& out) -> void {
     for (auto const& entry : answer.changed) {
         this->take_entry(entry, versions, out);
@@ -118,7 +118,7 @@
     }
 }
 
-auto reader::on_restored(platform::swap_answer const& answer, base::time_point now,
+auto reader::on_restored(coordination::swap_answer const& answer, base::time_point now,
                          random_generator& random) -> void {
     std::erase_if(this->restoring, [&](auto const& each) { return each.second == answer.call; });
     if (!answer.swapped) {
@@ -126,7 +126,7 @@
     }
 }
 
-auto reader::on_lost(platform::call_number call, base::time_point now, random_generator& random)
+auto reader::on_lost(coordination::call_number call, base::time_point now, random_generator& random)
     -> bool {
     auto const same = [&](auto const& each) { return each.second == call; };
     if (std::erase_if(this->restoring, same) > 0) {
@@ -147,7 +147,7 @@
     return true;
 }
 
-auto reader::take_entry(platform::entry const& found, acceptor& versions, outbox& out) -> void {
+auto reader::take_entry(coordination::entry const& found, acceptor& versions, outbox& out) -> void {
     auto const service = service_of_key(found.key);
     if (!service || found.value.empty()) {
         return;
@@ -159,16 +159,16 @@
     }
 }
 
-auto reader::restore_older(platform::entries_read const& answer, acceptor const& versions,
+auto reader::restore_older(coordination::entries_read const& answer, acceptor const& versions,
                            outbox& out) -> void {
-    auto present = std::map<std::string, platform::entry const*>{};
+    auto present = std::map<std::string, coordination::entry const*>{};
     for (auto const& entry : answer.entries) {
         present[entry.key] = &entry;
     }
     for (auto const& [service, kept] : versions.table().all()) {
         auto const found = present.find(current_key(service));
         if (found == present.end()) {
-            this->restore(kept, platform::revision{}, out);
+            this->restore(kept, coordination::revision{}, out);
             continue;
         }
         auto const& entry = *found->second;
@@ -179,11 +179,11 @@
     }
 }
 
-auto reader::restore(version const& kept, platform::revision expected, outbox& out) -> void {
+auto reader::restore(version const& kept, coordination::revision expected, outbox& out) -> void {
     if (!this->active || this->restoring.contains(kept.service)) {
         return;
     }
-    auto swap = platform::compare_and_swap{};
+    auto swap = coordination::compare_and_swap{};
     swap.key = current_key(kept.service);
     swap.expected = expected;
     swap.value = to_value(kept);
--- a/linnetlane/document/reader.h
+++ b/linnetlane/document/reader.h
@@ -12,10 +12,10 @@
 
 #include "linnetlane/base/ids.h"
 #include "linnetlane/base/time.h"
+#include "linnetlane/coordination/store.h"
 #include "linnetlane/document/acceptor.h"
 #include "linnetlane/document/backoff.h"
 #include "linnetlane/document/outbox.h"
-#include "linnetlane/platform/store.h"
 
 namespace linnetlane::document {
 
@@ -33,7 +33,7 @@
     // Begins or ends to read.
     auto set_active(bool wanted, base::time_point now, outbox& out) -> void;
     // Whether the answer was one of this reader's calls.
-    auto handle(platform::store_answer const& answer, base::time_point now, acceptor& versions,
+    auto handle(coordination::store_answer const& answer, base::time_point now, acceptor& versions,
                 random_generator& random, outbox& out) -> bool;
     auto run_due(base::time_point now, outbox& out) -> void;
     [[nodiscard]] auto next_deadline() const -> base::time_point;
@@ -41,26 +41,26 @@
     [[nodiscard]] auto has_read() const -> bool { return this->read_once; }
 
 private:
-    auto on_read(platform::entries_read const& answer, base::time_point now, acceptor& versions,
+    auto on_read(coordination::entries_read const& answer, base::time_point now, acceptor& versions,
                  random_generator& random, outbox& out) -> void;
-    auto on_changes(platform::watch_changes const& answer, base::time_point now, acceptor& versions,
-                    random_generator& random, outbox& out) -> void;
-    auto on_restored(platform::swap_answer const& answer, base::time_point now,
+    auto on_changes(coordination::watch_changes const& answer, base::time_point now,
+                    acceptor& versions, random_generator& random, outbox& out) -> void;
+    auto on_restored(coordination::swap_answer const& answer, base::time_point now,
                      random_generator& random) -> void;
-    auto on_lost(platform::call_number call, base::time_point now, random_generator& random)
+    auto on_lost(coordination::call_number call, base::time_point now, random_generator& random)
         -> bool;
-    auto watch_from(platform::revision at, outbox& out) -> void;
-    auto take_entry(platform::entry const& found, acceptor& versions, outbox& out) -> void;
-    auto restore_older(platform::entries_read const& answer, acceptor const& versions, outbox& out)
-        -> void;
-    auto restore(version const& kept, platform::revision expected, outbox& out) -> void;
+    auto watch_from(coordination::revision at, outbox& out) -> void;
+    auto take_entry(coordination::entry const& found, acceptor& versions, outbox& out) -> void;
+    auto restore_older(coordination::entries_read const& answer, acceptor const& versions,
+                       outbox& out) -> void;
+    auto restore(version const& kept, coordination::revision expected, outbox& out) -> void;
 
     bool active = false;
     bool read_once = false;
-    std::optional<platform::call_number> reading;
-    std::optional<platform::call_number> watching;
-    platform::revision last_read_at;
-    std::map<base::service_id, platform::call_number> restoring;
+    std::optional<coordination::call_number> reading;
+    std::optional<coordination::call_number> watching;
+    coordination::revision last_read_at;
+    std::map<base::service_id, coordination::call_number> restoring;
     base::time_point next_read = base::time_point::max();
     backoff retries{first_retry, longest_retry};
 };
--- a/linnetlane/document/stored_value.cpp
+++ b/linnetlane/document/stored_value.cpp
@@ -61,8 +61,8 @@
     return kept;
 }
 
-auto history_writes(version const& kept) -> std::vector<platform::extra_write> {
-    auto writes = std::vector<platform::extra_write>{};
+auto history_writes(version const& kept) -> std::vector<coordination::extra_write> {
+    auto writes = std::vector<coordination::extra_write>{};
     writes.push_back({history_key(kept.service, kept.generation), to_value(kept)});
     if (kept.generation.value > history_length) {
         auto const oldest = base::generation{kept.generation.value - history_length};
--- a/linnetlane/document/stored_value.h
+++ b/linnetlane/document/stored_value.h
@@ -14,8 +14,8 @@
 #include <vector>
 
 #include "linnetlane/base/ids.h"
+#include "linnetlane/coordination/store.h"
 #include "linnetlane/document/messages.h"
-#include "linnetlane/platform/store.h"
 
 namespace linnetlane::document {
 
@@ -38,7 +38,7 @@
 [[nodiscard]] auto parse_value(base::service_id const& service, std::string_view value)
     -> std::optional<version>;
 // The writes that put `kept` into the history and take the oldest version out.
-[[nodiscard]] auto history_writes(version const& kept) -> std::vector<platform::extra_write>;
+[[nodiscard]] auto history_writes(version const& kept) -> std::vector<coordination::extra_write>;
 
 }  // namespace linnetlane::document
 
--- a/linnetlane/order/fake_engines.h
+++ b/linnetlane/order/fake_engines.h
@@ -17,9 +17,9 @@
 #include <vector>
 
 #include "linnetlane/base/result.h"
+#include "linnetlane/coordination/fake_store.h"
 #include "linnetlane/membership/fake_timeline.h"
 #include "linnetlane/order/giver.h"
-#include "linnetlane/platform/fake_store.h"
 
 namespace linnetlane::order {
 
@@ -237,23 +237,24 @@
         this->engines.at(upstream).running = 2;
     }
     auto call(std::size_t from, std::shared_ptr<giver> const& process,
-              platform::store_call const& wanted_call) -> void {
+              coordination::store_call const& wanted_call) -> void {
         auto const number = std::visit([](auto const& each) { return each.call; }, wanted_call);
-        auto const failed = [&](platform::call_reach reach) {
-            this->back(from, process, store_answered{platform::call_failed{number, reach}});
+        auto const failed = [&](coordination::call_reach reach) {
+            this->back(from, process, store_answered{coordination::call_failed{number, reach}});
         };
         if (this->platform_down) {
-            failed(platform::call_reach::not_run);
+            failed(coordination::call_reach::not_run);
             return;
         }
         if (this->chance(this->faults.lost_calls)) {
-            failed(platform::call_reach::may_have_run);
+            failed(coordination::call_reach::may_have_run);
             return;
         }
         this->time.after(this->delay(), [this, from, process, wanted_call, number] {
             auto const answer = this->store_state.run(wanted_call, this->time.now());
             if (this->chance(this->faults.lost_answers)) {
-                auto const lost = platform::call_failed{number, platform::call_reach::may_have_run};
+                auto const lost =
+                    coordination::call_failed{number, coordination::call_reach::may_have_run};
                 this->back(from, process, store_answered{lost});
             } else if (answer) {
                 this->back(from, process, store_answered{*answer});
@@ -271,7 +272,7 @@
 
     std::mt19937_64 random;
     limits bounds;
-    platform::fake_store store_state;
+    coordination::fake_store store_state;
     std::size_t starts = 0;
     std::set<std::size_t> paused;
     std::map<std::size_t, std::vector<event>> missed;
--- a/linnetlane/order/giver_test.cpp
+++ b/linnetlane/order/giver_test.cpp
@@ -107,7 +107,7 @@
     auto const start = base::time_point{1h};
     auto commands = std::vector<command>{};
     auto lease = lease_holder{{"findings"}, limits{}, "writer"};
-    auto store = platform::fake_store{};
+    auto store = coordination::fake_store{};
     // Each call takes effect at once, and is answered two seconds after it was made.
     auto now = start;
     auto const answer_late = [&] {
--- a/linnetlane/order/lease_holder.cpp
+++ b/linnetlane/order/lease_holder.cpp
@@ -17,7 +17,7 @@
     this->candidate = wanted;
 }
 
-auto lease_holder::handle(platform::store_answer const& answer, base::time_point now,
+auto lease_holder::handle(coordination::store_answer const& answer, base::time_point now,
                           std::vector<command>& out) -> lease_news {
     auto const answered = std::visit([](auto const& each) { return each.call; }, answer);
     if (this->keeping == answered) {
@@ -42,7 +42,7 @@
     auto const held = this->stage == stage::held;
     if (held && !this->keeping && now >= this->next_try) {
         this->kept_at = now;
-        this->keeping = this->call(platform::keep_alive{{}, this->lease}, out);
+        this->keeping = this->call(coordination::keep_alive{{}, this->lease}, out);
     }
     return held;
 }
@@ -53,8 +53,8 @@
 }
 
 auto lease_holder::release(base::time_point now, std::vector<command>& out) -> void {
-    if (this->stage != stage::idle && this->lease != platform::lease_number{}) {
-        this->call(platform::revoke_lease{{}, this->lease}, out);
+    if (this->stage != stage::idle && this->lease != coordination::lease_number{}) {
+        this->call(coordination::revoke_lease{{}, this->lease}, out);
     }
     this->stage = stage::idle;
     this->keeping.reset();
@@ -80,7 +80,7 @@
 }
 
 template <typename Call>
-auto lease_holder::call(Call wanted, std::vector<command>& out) -> platform::call_number {
+auto lease_holder::call(Call wanted, std::vector<command>& out) -> coordination::call_number {
     this->last_call = this->last_call.next();
     wanted.call = this->last_call;
     out.emplace_back(call_store{std::move(wanted)});
@@ -90,12 +90,13 @@
 auto lease_holder::begin(base::time_point now, std::vector<command>& out) -> void {
     this->stage = stage::granting;
     this->asked_at = now;
-    this->step = this->call(platform::grant_lease{{}, this->bounds.lease_span}, out);
+    this->step = this->call(coordination::grant_lease{{}, this->bounds.lease_span}, out);
 }
 
-auto lease_holder::swap_key(platform::revision expected, std::vector<platform::extra_write> extra,
-                            std::vector<command>& out) -> platform::call_number {
-    auto swap = platform::compare_and_swap{};
+auto lease_holder::swap_key(coordination::revision expected,
+                            std::vector<coordination::extra_write> extra, std::vector<command>& out)
+    -> coordination::call_number {
+    auto swap = coordination::compare_and_swap{};
     swap.key = lease_key(this->service);
     swap.expected = expected;
     swap.value = this->writer_name;
@@ -104,23 +105,23 @@
     return this->call(std::move(swap), out);
 }
 
-auto lease_holder::on_step(platform::store_answer const& answer, base::time_point now,
+auto lease_holder::on_step(coordination::store_answer const& answer, base::time_point now,
                            std::vector<command>& out) -> lease_news {
-    if (auto const* const granted = std::get_if<platform::lease_granted>(&answer)) {
+    if (auto const* const granted = std::get_if<coordination::lease_granted>(&answer)) {
         this->lease = granted->lease;
         this->ends_at = this->asked_at + granted->span;
         this->stage = stage::swapping;
-        this->step = this->swap_key(platform::revision{}, {}, out);
+        this->step = this->swap_key(coordination::revision{}, {}, out);
         return lease_news::none;
     }
-    auto const* const swapped = std::get_if<platform::swap_answer>(&answer);
+    auto const* const swapped = std::get_if<coordination::swap_answer>(&answer);
     if (swapped != nullptr && swapped->swapped) {
         this->modified = swapped->at;
         this->stage = stage::reading;
-        this->step = this->call(platform::read_key{{}, state_key(this->service)}, out);
+        this->step = this->call(coordination::read_key{{}, state_key(this->service)}, out);
         return lease_news::none;
     }
-    if (auto const* const read = std::get_if<platform::entries_read>(&answer)) {
+    if (auto const* const read = std::get_if<coordination::entries_read>(&answer)) {
         this->found_state = {};
         if (!read->entries.empty()) {
             this->found_state = parse_state(read->entries.front().value).value_or(giver_state{});
@@ -134,10 +135,10 @@
     return lease_news::none;
 }
 
-auto lease_holder::on_kept(platform::store_answer const& answer, base::time_point now,
+auto lease_holder::on_kept(coordination::store_answer const& answer, base::time_point now,
                            std::vector<command>& out) -> lease_news {
     this->keeping.reset();
-    auto const* const kept = std::get_if<platform::lease_kept>(&answer);
+    auto const* const kept = std::get_if<coordination::lease_kept>(&answer);
     if (kept == nullptr) {
         this->next_try = now + this->bounds.keep_alive_retry;
         return lease_news::none;
@@ -151,10 +152,10 @@
     return lease_news::none;
 }
 
-auto lease_holder::on_written(platform::store_answer const& answer, base::time_point now,
+auto lease_holder::on_written(coordination::store_answer const& answer, base::time_point now,
                               std::vector<command>& out) -> lease_news {
     this->writing.reset();
-    auto const* const swapped = std::get_if<platform::swap_answer>(&answer);
+    auto const* const swapped = std::get_if<coordination::swap_answer>(&answer);
     if (swapped != nullptr && swapped->swapped) {
         this->modified = swapped->at;
         return lease_news::written;
--- a/linnetlane/order/lease_holder.h
+++ b/linnetlane/order/lease_holder.h
@@ -12,10 +12,10 @@
 
 #include "linnetlane/base/ids.h"
 #include "linnetlane/base/time.h"
+#include "linnetlane/coordination/store.h"
 #include "linnetlane/order/giver_state.h"
 #include "linnetlane/order/limits.h"
 #include "linnetlane/order/messages.h"
-#include "linnetlane/platform/store.h"
 
 namespace linnetlane::order {
 
@@ -39,7 +39,7 @@
     lease_holder(base::service_id service, limits bounds, std::string writer);
 
     auto set_candidate(bool wanted, base::time_point now, std::vector<command>& out) -> void;
-    auto handle(platform::store_answer const& answer, base::time_point now,
+    auto handle(coordination::store_answer const& answer, base::time_point now,
                 std::vector<command>& out) -> lease_news;
     // Whether the lease is still held; begins what is due.
     auto run_due(base::time_point now, std::vector<command>& out) -> bool;
@@ -61,15 +61,15 @@
     enum class stage { idle, granting, reading, swapping, held };
 
     template <typename Call>
-    auto call(Call wanted, std::vector<command>& out) -> platform::call_number;
+    auto call(Call wanted, std::vector<command>& out) -> coordination::call_number;
     auto begin(base::time_point now, std::vector<command>& out) -> void;
-    auto swap_key(platform::revision expected, std::vector<platform::extra_write> extra,
-                  std::vector<command>& out) -> platform::call_number;
-    auto on_step(platform::store_answer const& answer, base::time_point now,
+    auto swap_key(coordination::revision expected, std::vector<coordination::extra_write> extra,
+                  std::vector<command>& out) -> coordination::call_number;
+    auto on_step(coordination::store_answer const& answer, base::time_point now,
                  std::vector<command>& out) -> lease_news;
-    auto on_kept(platform::store_answer const& answer, base::time_point now,
+    auto on_kept(coordination::store_answer const& answer, base::time_point now,
                  std::vector<command>& out) -> lease_news;
-    auto on_written(platform::store_answer const& answer, base::time_point now,
+    auto on_written(coordination::store_answer const& answer, base::time_point now,
                     std::vector<command>& out) -> lease_news;
 
     base::service_id service;
@@ -77,12 +77,12 @@
     std::string writer_name;
     bool candidate = false;
     lease_holder::stage stage = stage::idle;
-    platform::call_number last_call;
-    platform::call_number step;
-    std::optional<platform::call_number> keeping;
-    std::optional<platform::call_number> writing;
-    platform::lease_number lease;
-    platform::revision modified;
+    coordination::call_number last_call;
+    coordination::call_number step;
+    std::optional<coordination::call_number> keeping;
+    std::optional<coordination::call_number> writing;
+    coordination::lease_number lease;
+    coordination::revision modified;
     giver_state found_state;
     base::time_point asked_at;
     base::time_point kept_at;
--- a/linnetlane/order/messages.h
+++ b/linnetlane/order/messages.h
@@ -15,7 +15,7 @@
 #include "linnetlane/base/ids.h"
 #include "linnetlane/base/time.h"
 #include "linnetlane/base/units.h"
-#include "linnetlane/platform/store.h"
+#include "linnetlane/coordination/store.h"
 #include "linnetlane/service/document.h"
 
 namespace linnetlane::order {
@@ -96,7 +96,7 @@
 
 // The platform answered a call of this package.
 struct store_answered {
-    platform::store_answer answer;
+    coordination::store_answer answer;
 };
 
 // Time passed; deadlines may have come.
@@ -137,7 +137,7 @@
 
 // Makes a call on the platform.
 struct call_store {
-    platform::store_call call;
+    coordination::store_call call;
 };
 
 // An engine does not run what it should, and orders don't help.
