Router for the users' platform: routes, pools, reservations, streams; platform/ translates

The whole path, thin: routes from the registry, plain services by expected time, generations by a reservation at the decode engine before the prefill, streams passed event by event, a shared retry budget, orders for the pools' sizes under a lease, shutdown within the grace time.

--- a/linnetlane/base/ids.h
+++ b/linnetlane/base/ids.h
@@ -55,6 +55,8 @@
 using service_id = basic_name<struct service_tag>;
 // An account that sends requests.
 using caller_id = basic_name<struct caller_tag>;
+// A request, as its caller named it.
+using caller_request_id = basic_name<struct caller_request_tag>;
 // A key that the caller chose to make its request idempotent.
 using idempotency_key = basic_name<struct idempotency_key_tag>;
 // A group of one service's upstreams in one data centre that share a keeper.
--- a/linnetlane/base/time.h
+++ b/linnetlane/base/time.h
@@ -4,6 +4,8 @@
 #ifndef LINNETLANE_BASE_TIME_H_
 #define LINNETLANE_BASE_TIME_H_
 
+#include <time.h>
+
 #include <chrono>
 
 namespace linnetlane::base {
@@ -13,6 +15,23 @@
 using time_point = monotonic_clock::time_point;
 using duration = monotonic_clock::duration;
 
+// Goes on while the machine is suspended, which `monotonic_clock` doesn't. For leases, whose other
+// side doesn't wait for this machine.
+struct boot_clock {
+    using duration = std::chrono::nanoseconds;
+    using rep = duration::rep;
+    using period = duration::period;
+    using time_point = std::chrono::time_point<boot_clock>;
+    static constexpr bool is_steady = true;
+
+    [[nodiscard]] static auto now() -> time_point {
+        auto reading = timespec{};
+        clock_gettime(CLOCK_BOOTTIME, &reading);
+        return time_point{std::chrono::seconds{reading.tv_sec} +
+                          std::chrono::nanoseconds{reading.tv_nsec}};
+    }
+};
+
 // `seconds` as a duration.
 [[nodiscard]] constexpr auto from_seconds(double seconds) -> duration {
     return std::chrono::duration_cast<duration>(std::chrono::duration<double>(seconds));
--- a/linnetlane/daemon/main.cpp
+++ b/linnetlane/daemon/main.cpp
@@ -15,6 +15,7 @@
 #include "linnetlane/base/result.h"
 #include "linnetlane/cell/baselines.h"
 #include "linnetlane/daemon/host.h"
+#include "linnetlane/daemon/router_process.h"
 #include "linnetlane/runtime/worker_pool.h"
 #include "linnetlane/settings/parse.h"
 
@@ -38,6 +39,10 @@
     auto options = program_options::options_description("linnetlaned: the daemon of an entry host");
     auto add = options.add_options();
     add("help,h", "show this text");
+    add("router,r", program_options::value<std::string>(),
+        "route on the users' platform, with the router settings in FILE");
+    add("check-router", program_options::value<std::string>(),
+        "check the router settings in FILE; exit 0 if they are good, 2 if not");
     add("settings,s", program_options::value<std::string>(), "start with the settings in FILE");
     add("check-settings", program_options::value<std::string>(),
         "check the settings in FILE; exit 0 if they are good, 2 if not");
@@ -60,6 +65,12 @@
         std::cout << options;
         return exit_ok;
     }
+    if (values.contains("router")) {
+        return run_router(values["router"].as<std::string>(), router_mode::run);
+    }
+    if (values.contains("check-router")) {
+        return run_router(values["check-router"].as<std::string>(), router_mode::check_settings);
+    }
     auto const policy = cell::parse_placement_policy(values["policy"].as<std::string>());
     auto const check_only = values.contains("check-settings");
     auto const* const name = check_only ? "check-settings" : "settings";
--- /dev/null
+++ b/linnetlane/daemon/router_process.cpp
@@ -0,0 +1,100 @@
+#include "linnetlane/daemon/router_process.h"
+
+#include <pthread.h>
+#include <unistd.h>
+
+#include <csignal>
+#include <cstdlib>
+#include <exception>
+#include <iostream>
+#include <memory>
+#include <random>
+
+#include "linnetlane/router/host.h"
+#include "linnetlane/router/settings.h"
+#include "linnetlane/runtime/worker_pool.h"
+#include "linnetlane/telemetry/bounded_sink.h"
+#include "linnetlane/telemetry/log.h"
+#include "platform/registry.h"
+#include "platform/wire.h"
+
+namespace linnetlane::daemon {
+
+namespace {
+
+// Exit codes; also in docs/OPERATORS.md.
+constexpr auto exit_ok = 0;
+constexpr auto exit_failed = 1;
+constexpr auto exit_bad_settings = 2;
+
+using host = router::router_host<users_platform::registry, users_platform::wire>;
+
+auto print_problems(std::vector<settings::toml_problem> const& problems, std::string const& file)
+    -> void {
+    for (auto const& problem : problems) {
+        std::cerr << router::to_string(problem, file) << '\n';
+    }
+}
+
+auto block_signals() -> sigset_t {
+    auto signals = sigset_t{};
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    sigaddset(&signals, SIGHUP);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    std::signal(SIGPIPE, SIG_IGN);
+    return signals;
+}
+
+// What a reload can change in a running host is nothing yet: addresses and names are for life. The
+// new file is checked, so that a mistake is seen before the next start.
+auto reload(std::string const& file, telemetry::event_log const& log) -> void {
+    auto const loaded = router::load_router_settings(file);
+    auto const* const problems = base::failure_of(loaded);
+    if (problems != nullptr) {
+        print_problems(*problems, file);
+    }
+    log.write(problems == nullptr ? telemetry::log_level::info : telemetry::log_level::error,
+              "settings read again", {{"valid", problems == nullptr}});
+}
+
+}  // namespace
+
+auto run_router(std::string const& file, router_mode mode) -> int {
+    auto loaded = router::load_router_settings(file);
+    if (auto const* const problems = base::failure_of(loaded)) {
+        print_problems(*problems, file);
+        return exit_bad_settings;
+    }
+    if (mode == router_mode::check_settings) {
+        return exit_ok;
+    }
+    auto const settings = base::take_value(std::move(loaded));
+    auto const signals = block_signals();
+    auto const log = telemetry::event_log{
+        settings.log,
+        {settings.host, settings.data_centre},
+        std::make_shared<telemetry::bounded_sink>(STDOUT_FILENO, telemetry::sink_bounds{})};
+    auto pool = runtime::worker_pool{runtime::worker_count{1}};
+    auto running = std::make_unique<host>(pool, settings,
+                                          users_platform::registry{settings.coordination}, log,
+                                          std::random_device{}());
+    try {
+        running->start();
+    } catch (std::exception const& error) {
+        std::cerr << "linnetlaned: an address can't be bound: " << error.what() << '\n';
+        std::_Exit(exit_failed);
+    }
+    for (;;) {
+        auto signal = 0;
+        sigwait(&signals, &signal);
+        if (signal == SIGHUP) {
+            reload(file, log);
+        } else {
+            running->shut_down([] { std::_Exit(exit_ok); });
+        }
+    }
+}
+
+}  // namespace linnetlane::daemon
--- /dev/null
+++ b/linnetlane/router/region.cpp
@@ -0,0 +1,43 @@
+#include "linnetlane/router/region.h"
+
+namespace linnetlane::router {
+
+auto region::service(base::service_id const& id) -> service_state& {
+    auto& state = this->services[id];
+    if (!state) {
+        state = std::make_unique<service_state>(this->bounds);
+    }
+    return *state;
+}
+
+auto region::refresh_pools() -> void {
+    auto by_service = std::map<base::service_id, std::vector<routing::upstream_record>>{};
+    for (auto const& [id, state] : this->services) {
+        by_service[id];
+    }
+    for (auto const& [id, record] : this->upstreams.all()) {
+        by_service[record.service].push_back(record);
+    }
+    for (auto const& [id, records] : by_service) {
+        auto& state = this->service(id);
+        state.plain.set_members(records);
+        state.generation.set_members(records);
+    }
+}
+
+auto region::forget_load(base::upstream_id const& id) -> void {
+    for (auto const& [service, state] : this->services) {
+        state->plain.forget(id);
+        state->generation.forget(id);
+    }
+}
+
+auto region::draw() -> double {
+    return std::uniform_real_distribution<double>{0, 1}(this->random);
+}
+
+auto region::try_repeat(base::service_id const& id, base::time_point now) -> bool {
+    return this->service(id).repeats.try_take(this->hosts, now);
+}
+
+}  // namespace linnetlane::router
--- /dev/null
+++ b/linnetlane/router/region.h
@@ -0,0 +1,70 @@
+// What one host knows of its region: the configuration, the upstreams and their load, and how many
+// hosts share the budgets. Requests decide by it; the followers of the registry keep it current.
+
+#ifndef LINNETLANE_ROUTER_REGION_H_
+#define LINNETLANE_ROUTER_REGION_H_
+
+#include <cstddef>
+#include <map>
+#include <memory>
+#include <random>
+#include <vector>
+
+#include "linnetlane/base/ids.h"
+#include "linnetlane/base/time.h"
+#include "linnetlane/router/messages.h"
+#include "linnetlane/routing/configuration.h"
+#include "linnetlane/routing/generation_pool.h"
+#include "linnetlane/routing/plain_pool.h"
+#include "linnetlane/routing/refusal_policy.h"
+#include "linnetlane/routing/retry_allowance.h"
+#include "linnetlane/routing/upstream_set.h"
+
+namespace linnetlane::router {
+
+// What a host knows of one service.
+struct service_state {
+    explicit service_state(routing::retry_bounds const& bounds) : repeats{bounds} {}
+
+    routing::plain_pool plain;
+    routing::generation_pool generation;
+    routing::retry_allowance repeats;
+    routing::refusal_policy refusals;
+};
+
+// Belongs to one worker.
+class region {
+public:
+    // Hosts that are assumed to share the budgets before any list of hosts was read.
+    static constexpr auto assumed_hosts = std::size_t{64};
+
+    region(routing::retry_bounds const& own_bounds, std::uint32_t seed)
+        : bounds{own_bounds}, random{seed} {}
+
+    // Whether requests can be routed.
+    [[nodiscard]] auto ready() const -> bool {
+        return this->routes.current() != nullptr && this->upstreams.known();
+    }
+    // Created when first asked for.
+    [[nodiscard]] auto service(base::service_id const& id) -> service_state&;
+    // Passes changes of the upstreams on to the services' pools.
+    auto refresh_pools() -> void;
+    // A process with an id that was known has started anew.
+    auto forget_load(base::upstream_id const& id) -> void;
+    // Uniform in [0, 1).
+    [[nodiscard]] auto draw() -> double;
+    [[nodiscard]] auto try_repeat(base::service_id const& id, base::time_point now) -> bool;
+
+    routing::route_table routes;
+    routing::upstream_set upstreams;
+    std::size_t hosts = assumed_hosts;
+
+private:
+    routing::retry_bounds bounds;
+    std::minstd_rand random;
+    std::map<base::service_id, std::unique_ptr<service_state>> services;
+};
+
+}  // namespace linnetlane::router
+
+#endif  // LINNETLANE_ROUTER_REGION_H_
--- /dev/null
+++ b/linnetlane/router/registry_follower.h
@@ -0,0 +1,285 @@
+// Keeps a region current from the registry: one fiber for the configuration, one for the upstreams.
+//
+// Both read everything once and then wait for changes. After any failure they read everything
+// again, since changes may have been missed; what is known stays in force meanwhile.
+
+#ifndef LINNETLANE_ROUTER_REGISTRY_FOLLOWER_H_
+#define LINNETLANE_ROUTER_REGISTRY_FOLLOWER_H_
+
+#include <algorithm>
+#include <chrono>
+#include <functional>
+#include <optional>
+#include <utility>
+
+#include "linnetlane/router/messages.h"
+#include "linnetlane/router/request_context.h"
+
+namespace linnetlane::router {
+
+// Timing of the calls on the registry.
+struct follow_timing {
+    // How long a call waits for changes. A connection that went silent is noticed after it, so it
+    // is short against the two seconds in which changes take effect everywhere.
+    static constexpr auto wait = std::chrono::milliseconds{2500};
+    // Beyond the wait, before a call counts as lost.
+    static constexpr auto patience = std::chrono::milliseconds{700};
+    // For a read of everything.
+    static constexpr auto read_patience = std::chrono::milliseconds{1500};
+    // Between two reads of changes, to take several at once.
+    static constexpr auto gather = std::chrono::milliseconds{100};
+    static constexpr auto first_pause = std::chrono::milliseconds{50};
+    static constexpr auto longest_pause = std::chrono::milliseconds{800};
+};
+
+// Pauses between tries, longer after each failure, with a random part.
+class retry_pause {
+public:
+    auto after_failure(double draw) -> void {
+        auto const span = this->current * (0.5 + draw);
+        runtime::sleep_until(base::monotonic_clock::now() +
+                             std::chrono::duration_cast<base::duration>(span));
+        this->current = std::min<base::duration>(this->current * 2, follow_timing::longest_pause);
+    }
+    auto after_success() -> void { this->current = follow_timing::first_pause; }
+
+private:
+    base::duration current = follow_timing::first_pause;
+};
+
+// Says once when the registry is lost, and once when it is back.
+class registry_watchdog {
+public:
+    explicit registry_watchdog(host_parts const& own_parts, telemetry::literal own_subject)
+        : parts{own_parts}, subject{own_subject} {}
+
+    auto failed(registry_failure failure) -> void {
+        this->parts.metrics.count_registry_failure();
+        if (this->lost_since) {
+            return;
+        }
+        this->lost_since = base::monotonic_clock::now();
+        this->parts.log.write(telemetry::log_level::warning, "registry lost",
+                              {{"subject", this->subject},
+                               {"failure", failure == registry_failure::malformed
+                                               ? telemetry::literal{"malformed"}
+                                               : telemetry::literal{"no answer"}}});
+    }
+    auto succeeded() -> void {
+        if (!this->lost_since) {
+            return;
+        }
+        this->parts.log.write(
+            telemetry::log_level::info, "registry regained",
+            {{"subject", this->subject},
+             {"lost_for", base::monotonic_clock::now() - *this->lost_since}});
+        this->lost_since.reset();
+    }
+
+private:
+    host_parts const& parts;
+    telemetry::literal subject;
+    std::optional<base::time_point> lost_since;
+};
+
+template <router_registry Registry>
+class configuration_follower {
+public:
+    using taken_hook = std::function<void(routing::configuration const&)>;
+
+    configuration_follower(Registry& own_registry, host_parts const& own_parts, taken_hook hook)
+        : registry{own_registry},
+          parts{own_parts},
+          on_taken{std::move(hook)},
+          watchdog{own_parts, "configuration"} {}
+
+    // Never returns.
+    [[noreturn]] auto run() -> void {
+        auto position = std::optional<registry_position>{};
+        for (;;) {
+            auto const now = base::monotonic_clock::now();
+            auto const reading =
+                position ? this->registry.await_configuration(
+                               *position, follow_timing::wait,
+                               now + follow_timing::wait + follow_timing::patience)
+                         : this->registry.read_configuration(now + follow_timing::read_patience);
+            if (auto const* const failure = base::failure_of(reading)) {
+                this->after_failure(*failure, position.has_value());
+                position.reset();
+                continue;
+            }
+            this->watchdog.succeeded();
+            this->pause.after_success();
+            position = base::value_of(reading).position;
+            this->take(base::value_of(reading).configuration);
+        }
+    }
+
+private:
+    auto after_failure(registry_failure failure, bool was_waiting) -> void {
+        if (failure == registry_failure::history_lost || was_waiting) {
+            // The full read that follows tells whether the registry is there.
+            return;
+        }
+        this->watchdog.failed(failure);
+        this->pause.after_failure(this->parts.known.draw());
+    }
+
+    auto take(std::shared_ptr<routing::configuration const> const& offered) -> void {
+        if (offered == nullptr) {
+            return;
+        }
+        auto const taken = this->parts.known.routes.offer(offered);
+        if (!taken) {
+            return;
+        }
+        this->parts.metrics.set_configuration(offered->version);
+        this->parts.log.write(telemetry::log_level::info, "configuration in force",
+                              {{"version", static_cast<std::int64_t>(offered->version.value)},
+                               {"routes", static_cast<std::int64_t>(offered->routes.size())}});
+        this->on_taken(*offered);
+    }
+
+    Registry& registry;
+    host_parts const& parts;
+    taken_hook on_taken;
+    registry_watchdog watchdog;
+    retry_pause pause;
+};
+
+template <router_registry Registry>
+class upstream_follower {
+public:
+    upstream_follower(Registry& own_registry, host_parts const& own_parts)
+        : registry{own_registry}, parts{own_parts}, watchdog{own_parts, "upstreams"} {}
+
+    // Never returns.
+    [[noreturn]] auto run() -> void {
+        for (;;) {
+            auto position = this->list();
+            while (position) {
+                position = this->follow(*position);
+            }
+        }
+    }
+
+private:
+    // Takes a full listing; its position, or nothing after a failure.
+    auto list() -> std::optional<registry_position> {
+        auto const listing = this->registry.list_upstreams(base::monotonic_clock::now() +
+                                                           follow_timing::read_patience);
+        if (auto const* const failure = base::failure_of(listing)) {
+            this->parts.known.upstreams.note_outage();
+            this->watchdog.failed(*failure);
+            this->expire();
+            this->pause.after_failure(this->parts.known.draw());
+            return std::nullopt;
+        }
+        this->watchdog.succeeded();
+        this->pause.after_success();
+        auto const& listed = base::value_of(listing);
+        if (listed.unreadable > 0) {
+            this->parts.log.write(telemetry::log_level::warning,
+                                  "registered entries name no upstream",
+                                  {{"entries", static_cast<std::int64_t>(listed.unreadable)}});
+        }
+        for (auto const& record : listed.records) {
+            this->note_change(record);
+        }
+        auto const dropped = this->parts.known.upstreams.replace_all(
+            listed.records, base::monotonic_clock::now());
+        this->log_gone(dropped);
+        this->publish();
+        return listed.position;
+    }
+
+    // Waits for changes; the position after them, or nothing after a failure.
+    auto follow(registry_position position) -> std::optional<registry_position> {
+        auto const asked_at = base::monotonic_clock::now();
+        auto const changes =
+            this->registry.await_upstreams(position, follow_timing::wait,
+                                           asked_at + follow_timing::wait + follow_timing::patience);
+        if (auto const* const failure = base::failure_of(changes)) {
+            if (*failure != registry_failure::history_lost) {
+                this->parts.known.upstreams.note_outage();
+            }
+            return std::nullopt;
+        }
+        this->take(base::value_of(changes));
+        runtime::sleep_until(base::monotonic_clock::now() + follow_timing::gather);
+        return base::value_of(changes).position;
+    }
+
+    auto take(upstream_changes const& changes) -> void {
+        auto const now = base::monotonic_clock::now();
+        auto& upstreams = this->parts.known.upstreams;
+        if (changes.removed.size() > upstreams.all().size() / 4 + 1) {
+            // So many at once have not left: their entries lapsed while the registry was away.
+            upstreams.begin_grace(now);
+        }
+        for (auto const& record : changes.put) {
+            this->note_change(record);
+            upstreams.put(record);
+        }
+        auto gone = std::vector<base::upstream_id>{};
+        for (auto const& id : changes.removed) {
+            if (upstreams.remove(id, now)) {
+                gone.push_back(id);
+            }
+        }
+        this->log_gone(gone);
+        if (!this->expire() && (!changes.put.empty() || !gone.empty())) {
+            this->publish();
+        }
+    }
+
+    auto note_change(routing::upstream_record const& record) -> void {
+        auto const* const known = this->parts.known.upstreams.find(record.id);
+        auto const restarted = known != nullptr && (known->started != record.started ||
+                                                    known->address != record.address);
+        if (restarted) {
+            this->parts.known.forget_load(record.id);
+        }
+        auto const news = known == nullptr || restarted || known->leaving != record.leaving ||
+                          known->stage != record.stage;
+        if (news) {
+            this->parts.log.write(telemetry::log_level::info, "upstream changed",
+                                  {record.id, record.service, record.address, record.data_centre,
+                                   {"new", known == nullptr},
+                                   {"restarted", restarted},
+                                   {"leaving", record.leaving},
+                                   {"prefill", record.stage == routing::engine_stage::prefill}});
+        }
+    }
+
+    // Drops what was missing for too long; whether anything was.
+    auto expire() -> bool {
+        auto const gone = this->parts.known.upstreams.expire(base::monotonic_clock::now());
+        if (gone.empty()) {
+            return false;
+        }
+        this->log_gone(gone);
+        this->publish();
+        return true;
+    }
+
+    auto log_gone(std::vector<base::upstream_id> const& gone) const -> void {
+        for (auto const& id : gone) {
+            this->parts.log.write(telemetry::log_level::info, "upstream gone", {id});
+        }
+    }
+
+    auto publish() -> void {
+        this->parts.known.refresh_pools();
+        this->parts.metrics.set_upstreams(this->parts.known.upstreams.all().size());
+    }
+
+    Registry& registry;
+    host_parts const& parts;
+    registry_watchdog watchdog;
+    retry_pause pause;
+};
+
+}  // namespace linnetlane::router
+
+#endif  // LINNETLANE_ROUTER_REGISTRY_FOLLOWER_H_
--- /dev/null
+++ b/linnetlane/router/router_metrics.cpp
@@ -0,0 +1,148 @@
+#include "linnetlane/router/router_metrics.h"
+
+#include <prometheus/text_serializer.h>
+
+namespace linnetlane::router {
+
+namespace {
+
+using buckets = prometheus::Histogram::BucketBoundaries;
+
+// Seconds; from an answer out of memory to the longest timeouts of routes.
+auto latency_buckets() -> buckets {
+    return {0.01, 0.025, 0.05, 0.1, 0.15, 0.3, 0.6, 0.9, 1.5, 3, 6, 14};
+}
+
+auto counters(prometheus::Registry& registry, char const* name, char const* help)
+    -> prometheus::Family<prometheus::Counter>& {
+    return prometheus::BuildCounter().Name(name).Help(help).Register(registry);
+}
+
+auto gauge(prometheus::Registry& registry, char const* name, char const* help)
+    -> prometheus::Gauge& {
+    return prometheus::BuildGauge().Name(name).Help(help).Register(registry).Add({});
+}
+
+auto histograms(prometheus::Registry& registry, char const* name, char const* help)
+    -> prometheus::Family<prometheus::Histogram>& {
+    return prometheus::BuildHistogram().Name(name).Help(help).Register(registry);
+}
+
+}  // namespace
+
+auto to_string(request_kind kind) -> char const* {
+    return kind == request_kind::plain ? "plain" : "generation";
+}
+
+auto to_string(request_outcome outcome) -> char const* {
+    switch (outcome) {
+        case request_outcome::answered:
+            return "answered";
+        case request_outcome::refused:
+            return "refused";
+        case request_outcome::cut_off:
+            return "cut_off";
+        case request_outcome::caller_left:
+            break;
+    }
+    return "caller_left";
+}
+
+auto to_string(refusal_reason reason) -> char const* {
+    switch (reason) {
+        case refusal_reason::no_configuration:
+            return "no_configuration";
+        case refusal_reason::no_route:
+            return "no_route";
+        case refusal_reason::no_upstream:
+            return "no_upstream";
+        case refusal_reason::overloaded:
+            return "overloaded";
+        case refusal_reason::upstreams_unreachable:
+            return "upstreams_unreachable";
+        case refusal_reason::outcome_unknown:
+            return "outcome_unknown";
+        case refusal_reason::timed_out:
+            return "timed_out";
+        case refusal_reason::leaving:
+            break;
+    }
+    return "leaving";
+}
+
+router_metrics::router_metrics()
+    : registry{std::make_shared<prometheus::Registry>()},
+      requests{&counters(*this->registry, "linnetlane_requests_total",
+                         "Requests by kind and by how they ended.")},
+      request_seconds{&histograms(*this->registry, "linnetlane_request_seconds",
+                                  "From a request's arrival to its end.")},
+      refusals{&counters(*this->registry, "linnetlane_refusals_total",
+                         "Requests that the host answered by itself, by reason.")},
+      repeats{&counters(*this->registry, "linnetlane_repeats_total",
+                        "Requests sent to an upstream once more.")},
+      reservations{&counters(*this->registry, "linnetlane_reservations_total",
+                             "Reservations that engines were asked for, by answer.")},
+      prefill_tokens{&counters(*this->registry, "linnetlane_prefill_tokens_total",
+                               "Prompt tokens that prefill engines read.")
+                          .Add({})},
+      wasted_prefill_tokens{&counters(*this->registry, "linnetlane_wasted_prefill_tokens_total",
+                                      "Prompt tokens read for answers that never began.")
+                                 .Add({})},
+      first_event_seconds{&histograms(*this->registry, "linnetlane_first_event_seconds",
+                                      "From a request's arrival to the first event of its answer.")
+                               .Add({}, latency_buckets())},
+      registry_failures{&counters(*this->registry, "linnetlane_registry_failures_total",
+                                  "Calls on the registry that failed.")
+                             .Add({})},
+      upstreams{&gauge(*this->registry, "linnetlane_upstreams", "Upstreams known.")},
+      configuration{&gauge(*this->registry, "linnetlane_configuration_version",
+                           "The version of the configuration in force.")} {}
+
+auto router_metrics::count_request(request_kind kind, request_outcome outcome, base::duration took)
+    -> void {
+    this->requests->Add({{"kind", to_string(kind)}, {"outcome", to_string(outcome)}}).Increment();
+    this->request_seconds->Add({{"kind", to_string(kind)}}, latency_buckets())
+        .Observe(base::to_seconds(took));
+}
+
+auto router_metrics::count_refusal(refusal_reason reason) -> void {
+    this->refusals->Add({{"reason", to_string(reason)}}).Increment();
+}
+
+auto router_metrics::count_repeat(request_kind kind) -> void {
+    this->repeats->Add({{"kind", to_string(kind)}}).Increment();
+}
+
+auto router_metrics::count_reservation(bool granted) -> void {
+    this->reservations->Add({{"answer", granted ? "granted" : "no_room"}}).Increment();
+}
+
+auto router_metrics::count_prefill(base::token_count tokens) -> void {
+    this->prefill_tokens->Increment(static_cast<double>(tokens.value));
+}
+
+auto router_metrics::count_wasted_prefill(base::token_count tokens) -> void {
+    this->wasted_prefill_tokens->Increment(static_cast<double>(tokens.value));
+}
+
+auto router_metrics::observe_first_event(base::duration took) -> void {
+    this->first_event_seconds->Observe(base::to_seconds(took));
+}
+
+auto router_metrics::count_registry_failure() -> void {
+    this->registry_failures->Increment();
+}
+
+auto router_metrics::set_upstreams(std::size_t known) -> void {
+    this->upstreams->Set(static_cast<double>(known));
+}
+
+auto router_metrics::set_configuration(routing::configuration_version version) -> void {
+    this->configuration->Set(static_cast<double>(version.value));
+}
+
+auto router_metrics::scrape() const -> std::string {
+    return prometheus::TextSerializer{}.Serialize(this->registry->Collect());
+}
+
+}  // namespace linnetlane::router
--- /dev/null
+++ b/linnetlane/routing/generation_pool.cpp
@@ -0,0 +1,154 @@
+#include "linnetlane/routing/generation_pool.h"
+
+#include <algorithm>
+#include <cmath>
+#include <tuple>
+
+namespace linnetlane::routing {
+
+namespace {
+
+constexpr auto newest_weight = 0.05;
+// Spread of the random part that keeps hosts with the same view from one choice, in usual requests.
+constexpr auto draw_spread = 0.5;
+
+// A different number from [0, 1) for each `index`.
+auto turned(double draw, std::size_t index) -> double {
+    auto const product = draw * static_cast<double>(index + 1) * 7.31;
+    return product - std::floor(product);
+}
+
+}  // namespace
+
+auto memory_to_reserve(generation_size const& size) -> base::token_count {
+    auto const bound = static_cast<double>(size.most_output.value);
+    auto const expected =
+        size.expected_output
+            ? generation_pool::output_margin * static_cast<double>(size.expected_output->value)
+            : generation_pool::output_share_of_bound * bound;
+    return size.prompt +
+           base::token_count{static_cast<std::int64_t>(std::ceil(std::min(expected, bound)))};
+}
+
+auto generation_pool::set_members(std::vector<upstream_record> const& records) -> void {
+    auto listed = std::set<base::upstream_id>{};
+    for (auto const& record : records) {
+        if (!record.stage) {
+            continue;
+        }
+        listed.insert(record.id);
+        auto& one = this->members[record.id];
+        one.stage = *record.stage;
+        one.leaving = record.leaving;
+    }
+    std::erase_if(this->members, [&](auto const& entry) { return !listed.contains(entry.first); });
+}
+
+auto generation_pool::decode_candidates(std::size_t most, double draw, base::time_point now) const
+    -> std::vector<base::upstream_id> {
+    using ranked = std::tuple<bool, bool, double, base::upstream_id>;
+    auto order = std::vector<ranked>{};
+    auto index = std::size_t{0};
+    for (auto const& [id, one] : this->members) {
+        ++index;
+        if (one.leaving || one.stage != engine_stage::decode) {
+            continue;
+        }
+        auto const cost =
+            this->load_of(one, now) + draw_spread * this->usual_tokens * turned(draw, index);
+        order.emplace_back(!one.health.usable(now), now < one.full_until, cost, id);
+    }
+    std::ranges::sort(order);
+    auto chosen = std::vector<base::upstream_id>{};
+    for (auto const& [rests, full, cost, id] : order) {
+        if (chosen.size() == most) {
+            break;
+        }
+        chosen.push_back(id);
+    }
+    return chosen;
+}
+
+auto generation_pool::prefill_candidate(std::set<base::upstream_id> const& tried, double draw,
+                                        base::time_point now) const
+    -> std::optional<base::upstream_id> {
+    using ranked = std::tuple<bool, double, base::upstream_id>;
+    auto best = std::optional<ranked>{};
+    auto index = std::size_t{0};
+    for (auto const& [id, one] : this->members) {
+        ++index;
+        if (one.leaving || one.stage != engine_stage::prefill || tried.contains(id)) {
+            continue;
+        }
+        auto const cost =
+            this->load_of(one, now) + draw_spread * this->usual_tokens * turned(draw, index);
+        auto const candidate = ranked{!one.health.usable(now), cost, id};
+        if (!best || candidate < *best) {
+            best = candidate;
+        }
+    }
+    return best ? std::optional{std::get<2>(*best)} : std::nullopt;
+}
+
+auto generation_pool::note_full(base::upstream_id const& id, base::time_point now) -> void {
+    if (auto const found = this->members.find(id); found != this->members.end()) {
+        found->second.full_until = now + full_for;
+    }
+}
+
+auto generation_pool::begin(base::upstream_id const& id, base::token_count tokens) -> void {
+    auto const sample = static_cast<double>(tokens.value);
+    this->usual_tokens = this->usual_tokens == 0
+                             ? sample
+                             : this->usual_tokens + newest_weight * (sample - this->usual_tokens);
+    if (auto const found = this->members.find(id); found != this->members.end()) {
+        found->second.under_way += tokens;
+        ++found->second.requests;
+    }
+}
+
+auto generation_pool::end(base::upstream_id const& id, base::token_count tokens) -> void {
+    if (auto const found = this->members.find(id); found != this->members.end()) {
+        auto& one = found->second;
+        one.under_way -= std::min(one.under_way, tokens);
+        one.requests -= std::min<std::size_t>(one.requests, 1);
+    }
+}
+
+auto generation_pool::note_outcome(base::upstream_id const& id, exchange_outcome outcome,
+                                   base::time_point now) -> void {
+    auto const found = this->members.find(id);
+    if (found == this->members.end()) {
+        return;
+    }
+    auto sum = 0.0;
+    for (auto const& [other, one] : this->members) {
+        sum += other == id ? 0.0 : one.health.failed_share();
+    }
+    auto const peers = this->members.size() > 1 ? static_cast<double>(this->members.size() - 1) : 1;
+    found->second.health.note(outcome, sum / peers, now);
+}
+
+auto generation_pool::note_load(base::upstream_id const& id, load_report const& load,
+                                base::time_point now) -> void {
+    if (auto const found = this->members.find(id); found != this->members.end()) {
+        auto& one = found->second;
+        auto const all = load.running + load.waiting;
+        one.others = all > one.requests ? all - one.requests : 0;
+        one.others_valid_until = now + load_report_validity;
+    }
+}
+
+auto generation_pool::count(engine_stage stage) const -> std::size_t {
+    return static_cast<std::size_t>(std::ranges::count_if(this->members, [&](auto const& entry) {
+        return !entry.second.leaving && entry.second.stage == stage;
+    }));
+}
+
+auto generation_pool::load_of(member const& one, base::time_point now) const -> double {
+    auto const others =
+        now < one.others_valid_until ? static_cast<double>(one.others) * this->usual_tokens : 0.0;
+    return static_cast<double>(one.under_way.value) + others;
+}
+
+}  // namespace linnetlane::routing
--- /dev/null
+++ b/linnetlane/routing/upstream_set.cpp
@@ -0,0 +1,90 @@
+#include "linnetlane/routing/upstream_set.h"
+
+#include <set>
+
+namespace linnetlane::routing {
+
+auto upstream_set::note_outage() -> void {
+    this->outage = true;
+}
+
+auto upstream_set::begin_grace(base::time_point now) -> void {
+    this->outage = false;
+    this->grace_until = now + reregistration_grace;
+}
+
+auto upstream_set::replace_all(std::vector<upstream_record> const& listed, base::time_point now)
+    -> std::vector<base::upstream_id> {
+    if (this->outage) {
+        this->begin_grace(now);
+    }
+    auto seen = std::set<base::upstream_id>{};
+    for (auto const& record : listed) {
+        seen.insert(record.id);
+        this->put(record);
+    }
+    auto missing = std::vector<base::upstream_id>{};
+    for (auto const& [id, record] : this->records) {
+        if (!seen.contains(id)) {
+            missing.push_back(id);
+        }
+    }
+    auto dropped = std::vector<base::upstream_id>{};
+    for (auto const& id : missing) {
+        if (this->remove(id, now)) {
+            dropped.push_back(id);
+        }
+    }
+    this->listed_once = true;
+    return dropped;
+}
+
+auto upstream_set::put(upstream_record const& record) -> record_change {
+    this->drop_at.erase(record.id);
+    auto const [place, added] = this->records.try_emplace(record.id, record);
+    if (added) {
+        return record_change::added;
+    }
+    auto& known = place->second;
+    if (known == record) {
+        return record_change::none;
+    }
+    auto const restarted =
+        known.started != record.started || !(known.address == record.address);
+    known = record;
+    return restarted ? record_change::restarted : record_change::updated;
+}
+
+auto upstream_set::remove(base::upstream_id const& id, base::time_point now) -> bool {
+    auto const found = this->records.find(id);
+    if (found == this->records.end()) {
+        return false;
+    }
+    if (now < this->grace_until && !found->second.leaving) {
+        this->drop_at.try_emplace(id, this->grace_until);
+        return false;
+    }
+    this->drop_at.erase(id);
+    this->records.erase(found);
+    return true;
+}
+
+auto upstream_set::expire(base::time_point now) -> std::vector<base::upstream_id> {
+    auto dropped = std::vector<base::upstream_id>{};
+    std::erase_if(this->drop_at, [&](auto const& entry) {
+        if (entry.second > now) {
+            return false;
+        }
+        this->records.erase(entry.first);
+        dropped.push_back(entry.first);
+        return true;
+    });
+    return dropped;
+}
+
+auto upstream_set::find(base::upstream_id const& id) const -> upstream_record const* {
+    auto const found = this->records.find(id);
+    return found == this->records.end() ? nullptr : &found->second;
+}
+
+}  // namespace linnetlane::routing
--- a/linnetlane/runtime/http.h
+++ b/linnetlane/runtime/http.h
@@ -74,6 +74,10 @@
     // The next bytes of the body; empty at its end.
     [[nodiscard]] auto read_some(base::time_point deadline)
         -> base::result<std::string, http_failure>;
+    // Skips what is left of this answer and reads the head of the next one on the same connection,
+    // for upstreams that send an answer nobody waits for before the one that is due.
+    [[nodiscard]] auto read_next_answer(base::time_point deadline)
+        -> base::result<base::nothing, http_failure>;
     // Reads the rest of the body, at most `most` bytes.
     [[nodiscard]] auto read_all(std::size_t most, base::time_point deadline)
         -> base::result<std::string, http_failure>;
@@ -92,7 +96,14 @@
     fresh,
 };
 
-// Sends `request` to `to` and waits for the head of the answer. Call on a worker.
+// Sends `request` to `to` and waits for the head of the answer, also while the body is still being
+// sent. A `Host` field of the request takes the place of the address. `hook` is given the function
+// that ends the connection, before anything is sent; it may be called until the stream is gone.
+// Call on a worker.
+using stop_hook = std::function<void(std::function<void()>)>;
+[[nodiscard]] auto open_stream(base::endpoint const& to, http_request const& request,
+                               connection_use use, base::time_point deadline, stop_hook const& hook)
+    -> base::result<http_stream, http_failure>;
 [[nodiscard]] auto open_stream(base::endpoint const& to, http_request const& request,
                                connection_use use, base::time_point deadline)
     -> base::result<http_stream, http_failure>;
@@ -162,6 +173,12 @@
     [[nodiscard]] auto address() const -> base::endpoint;
     // Requests whose handlers have not returned.
     [[nodiscard]] auto requests_under_way() const -> std::size_t;
+    // Replaces the limits; connections take them over with their next request.
+    auto set_limits(http_limits const& limits) -> void;
+    // From now on each connection is closed once the request under way on it is answered.
+    auto close_after_answers() -> void;
+    // Closes the connections on which no request is under way.
+    auto close_idle() -> void;
     // Stops accepting connections; requests on kept ones are still served.
     auto stop_accepting() -> void;
 
--- a/linnetlane/runtime/http_client.cpp
+++ b/linnetlane/runtime/http_client.cpp
@@ -1,4 +1,6 @@
+#include <algorithm>
 #include <array>
+#include <charconv>
 #include <limits>
 #include <map>
 #include <utility>
@@ -31,15 +33,24 @@
 constexpr auto no_body_limit = std::numeric_limits<std::uint64_t>::max();
 constexpr auto fetched_body_bytes = std::size_t{64} * 1024 * 1024;
 constexpr auto kept_connections_per_endpoint = std::size_t{64};
+// How long a connection is kept whose server names no idle timeout.
+constexpr auto default_keep = std::chrono::seconds{4};
+// Share of the server's idle timeout after which a connection is no longer used: a request that
+// crosses the server's close would have an unknown outcome.
+constexpr auto kept_share_of_timeout = 0.6;
+// Connecting takes a round trip and the handshake; one that takes this long is not coming.
+constexpr auto connect_patience = std::chrono::milliseconds{400};
 
 struct connection {
     explicit connection(boost::asio::io_context& context) : stream(context) {}
 
     internal::byte_stream stream;
     beast::flat_buffer buffer;
+    // Not used for another request after this.
+    base::time_point reusable_until = base::time_point::max();
 };
 
-using connection_pointer = std::unique_ptr<connection>;
+using connection_pointer = std::shared_ptr<connection>;
 
 // Idle connections of one worker.
 thread_local auto idle_connections = std::map<base::endpoint, std::vector<connection_pointer>>{};
@@ -53,7 +64,7 @@
     while (!kept.empty()) {
         auto candidate = std::move(kept.back());
         kept.pop_back();
-        if (candidate->stream.quiet()) {
+        if (candidate->reusable_until > base::monotonic_clock::now() && candidate->stream.quiet()) {
             return candidate;
         }
     }
@@ -67,6 +78,19 @@
     }
 }
 
+// The idle timeout that the answer states, or the default.
+auto stated_keep(http_fields const& fields) -> base::duration {
+    auto const stated = fields.find("Keep-Alive");
+    auto const at = stated ? stated->find("timeout=") : std::string_view::npos;
+    if (at == std::string_view::npos) {
+        return default_keep;
+    }
+    auto const digits = stated->substr(at + std::string_view{"timeout="}.size());
+    auto seconds = 0;
+    std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
+    return base::from_seconds(kept_share_of_timeout * seconds);
+}
+
 auto kind_of(boost::system::error_code error) -> http_failure_kind {
     if (error == beast::error::timeout) {
         return http_failure_kind::timed_out;
@@ -89,8 +113,9 @@
 
 auto connect(base::endpoint const& to, base::time_point deadline)
     -> base::result<connection_pointer, http_failure> {
-    auto opened = std::make_unique<connection>(this_context());
-    opened->stream.expires_at(deadline);
+    auto opened = std::make_shared<connection>(this_context());
+    opened->stream.expires_at(
+        std::min(deadline, base::monotonic_clock::now() + connect_patience));
     auto const error = opened->stream.connect(to);
     if (error == beast::error::timeout) {
         return http_failure{http_failure_kind::timed_out, request_reach::not_sent};
@@ -118,31 +143,60 @@
     message.version(http_1_1);
     message.method_string(internal::to_beast(request.method));
     message.target(internal::to_beast(request.target));
-    message.set(http::field::host, to.address + ":" + std::to_string(to.port));
+    if (!request.fields.find("Host")) {
+        message.set(http::field::host, to.address + ":" + std::to_string(to.port));
+    }
     internal::copy_fields(request.fields, message);
     message.body() = request.body;
-    message.prepare_payload();
+    if (!request.body.empty() || request.method != "GET") {
+        message.prepare_payload();
+    }
     return message;
 }
 
 }  // namespace
 
+namespace {
+
+// A request on its way. Shared with the handler of its write, which may end after the answer.
+struct outgoing {
+    connection_pointer used;
+    http::request<http::string_body> message;
+    bool written = false;
+    bool failed = false;
+};
+
+auto start_write(std::shared_ptr<outgoing> const& sending) -> void {
+    http::async_write(sending->used->stream, sending->message,
+                      [sending](boost::system::error_code error, std::size_t) {
+                          sending->written = !error;
+                          sending->failed = static_cast<bool>(error);
+                      });
+}
+
+}  // namespace
+
 struct http_stream::state {
     base::endpoint to;
     connection_pointer used;
-    http::response_parser<http::buffer_body> parser;
+    std::shared_ptr<outgoing> sending;
+    std::optional<http::response_parser<http::buffer_body>> parser_slot{std::in_place};
     http_fields fields;
     bool finished = false;
 
+    [[nodiscard]] auto parser() -> http::response_parser<http::buffer_body>& {
+        return *this->parser_slot;
+    }
+
     auto read_head() -> boost::system::error_code {
-        this->parser.header_limit(answer_header_bytes);
-        this->parser.body_limit(no_body_limit);
+        this->parser().header_limit(answer_header_bytes);
+        this->parser().body_limit(no_body_limit);
         auto const read = internal::await_io([this](auto handler) {
-            http::async_read_header(this->used->stream, this->used->buffer, this->parser,
+            http::async_read_header(this->used->stream, this->used->buffer, this->parser(),
                                     std::move(handler));
         });
         if (!read.error) {
-            this->fields = internal::fields_of(this->parser.get());
+            this->fields = internal::fields_of(this->parser().get());
         }
         return read.error;
     }
@@ -150,12 +204,12 @@
     // Reads body bytes into `chunk`; gives their count, which is 0 only at the end.
     auto read_chunk(std::array<char, chunk_bytes>& chunk)
         -> base::result<std::size_t, boost::system::error_code> {
-        auto& body = this->parser.get().body();
-        while (!this->parser.is_done()) {
+        auto& body = this->parser().get().body();
+        while (!this->parser().is_done()) {
             body.data = chunk.data();
             body.size = chunk.size();
             auto const read = internal::await_io([this](auto handler) {
-                http::async_read_some(this->used->stream, this->used->buffer, this->parser,
+                http::async_read_some(this->used->stream, this->used->buffer, this->parser(),
                                       std::move(handler));
             });
             if (read.error && read.error != http::error::need_buffer) {
@@ -174,8 +228,14 @@
             return;
         }
         this->finished = true;
-        if (this->parser.get().keep_alive() && this->used->buffer.size() == 0) {
+        auto const reusable = this->parser().get().keep_alive() &&
+                              this->used->buffer.size() == 0 && this->sending->written;
+        if (reusable) {
+            this->used->reusable_until =
+                base::monotonic_clock::now() + stated_keep(this->fields);
             keep_idle(this->to, std::move(this->used));
+        } else {
+            this->used->stream.close();
         }
     }
 };
@@ -183,10 +243,14 @@
 http_stream::http_stream(std::unique_ptr<state> own) : opened(std::move(own)) {}
 http_stream::http_stream(http_stream&&) noexcept = default;
 auto http_stream::operator=(http_stream&&) noexcept -> http_stream& = default;
-http_stream::~http_stream() = default;
+http_stream::~http_stream() {
+    if (this->opened && !this->opened->finished) {
+        this->close();
+    }
+}
 
 auto http_stream::status() const -> int {
-    return static_cast<int>(this->opened->parser.get().result_int());
+    return static_cast<int>(this->opened->parser().get().result_int());
 }
 
 auto http_stream::fields() const -> http_fields const& {
@@ -240,8 +304,41 @@
     }
 }
 
+auto http_stream::read_next_answer(base::time_point deadline)
+    -> base::result<base::nothing, http_failure> {
+    auto& own = *this->opened;
+    if (!own.used) {
+        return http_failure{};
+    }
+    own.used->stream.expires_at(deadline);
+    auto chunk = std::array<char, chunk_bytes>{};
+    for (;;) {
+        auto const read = own.read_chunk(chunk);
+        if (auto const* error = base::failure_of(read)) {
+            return failure_after_send(*error);
+        }
+        if (base::value_of(read) == 0) {
+            break;
+        }
+    }
+    if (!own.parser().get().keep_alive()) {
+        return failure_after_send(http::error::end_of_stream);
+    }
+    own.parser_slot.emplace();
+    if (auto const error = own.read_head()) {
+        return failure_after_send(error);
+    }
+    return base::nothing{};
+}
+
 auto open_stream(base::endpoint const& to, http_request const& request, connection_use use,
                  base::time_point deadline) -> base::result<http_stream, http_failure> {
+    return open_stream(to, request, use, deadline, [](std::function<void()> const&) {});
+}
+
+auto open_stream(base::endpoint const& to, http_request const& request, connection_use use,
+                 base::time_point deadline, stop_hook const& hook)
+    -> base::result<http_stream, http_failure> {
     auto taken = take_connection(to, use, deadline);
     if (auto const* failure = base::failure_of(taken)) {
         return *failure;
@@ -249,14 +346,13 @@
     auto state = std::make_unique<http_stream::state>();
     state->to = to;
     state->used = base::take_value(std::move(taken));
-    auto const message = to_message(to, request);
-    auto const sent = internal::await_io(
-        [&](auto handler) { http::async_write(state->used->stream, message, std::move(handler)); });
-    if (sent.error) {
-        return failure_after_send(sent.error);
-    }
-    state->parser.skip(request.method == "HEAD");
+    hook([used = state->used] { used->stream.close(); });
+    state->used->stream.expires_at(deadline);
+    state->sending = std::make_shared<outgoing>(outgoing{state->used, to_message(to, request)});
+    start_write(state->sending);
+    state->parser().skip(request.method == "HEAD");
     if (auto const error = state->read_head()) {
+        state->used->stream.close();
         return failure_after_send(error);
     }
     return http_stream(std::move(state));
--- a/linnetlane/runtime/http_server.cpp
+++ b/linnetlane/runtime/http_server.cpp
@@ -1,4 +1,6 @@
 #include <atomic>
+#include <mutex>
+#include <set>
 #include <utility>
 
 #include <boost/asio/io_context.hpp>
@@ -73,6 +75,12 @@
     bool answered = false;
     bool streaming = false;
     bool keep_alive = true;
+    // The server closes connections after their answers.
+    std::atomic<bool> const* closing = nullptr;
+
+    [[nodiscard]] auto stays_open() const -> bool {
+        return this->keep_alive && (this->closing == nullptr || !*this->closing);
+    }
 
     auto mark_gone() -> void {
         this->gone = true;
@@ -157,6 +165,7 @@
         message.version(http_1_1);
         message.result(static_cast<unsigned>(response.status));
         internal::copy_fields(response.fields, message);
+        this->keep_alive = this->stays_open();
         message.keep_alive(this->keep_alive);
         message.body() = response.body;
         message.prepare_payload();
@@ -170,6 +179,7 @@
         message.version(http_1_1);
         message.result(static_cast<unsigned>(status));
         internal::copy_fields(fields, message);
+        this->keep_alive = this->stays_open();
         message.keep_alive(this->keep_alive);
         message.chunked(true);
         auto serializer = http::response_serializer<http::empty_body>(message);
@@ -319,6 +329,15 @@
     std::atomic<std::size_t> requests = 0;
     std::atomic<std::size_t> turn = 0;
     std::atomic<bool> accepting = true;
+    std::atomic<bool> closing = false;
+    std::mutex mutex;
+    // Guarded by `mutex`, as are `limits`.
+    std::set<std::shared_ptr<http_responder::state>> open;
+
+    auto current_limits() -> http_limits {
+        auto const lock = std::lock_guard{this->mutex};
+        return this->limits;
+    }
 
     auto accept_all() -> void {
         while (this->accepting) {
@@ -335,20 +354,45 @@
     }
 
     auto start_connection(worker_index worker, asio::ip::tcp::socket socket) -> void {
-        if (this->connections >= this->limits.connections) {
+        auto const limits_now = this->current_limits();
+        if (this->connections >= limits_now.connections) {
             return;
         }
         ++this->connections;
         auto ignored = boost::system::error_code{};
         socket.set_option(asio::ip::tcp::no_delay(true), ignored);
-        auto connection = std::make_shared<http_responder::state>(std::move(socket), this->limits);
+        auto connection = std::make_shared<http_responder::state>(std::move(socket), limits_now);
+        connection->closing = &this->closing;
         this->pool.spawn_on(worker, [self = this->shared_from_this(), connection] {
+            self->register_open(connection);
             self->serve(*connection);
             connection->stream.close();
+            self->forget(connection);
             --self->connections;
         });
     }
 
+    auto register_open(std::shared_ptr<http_responder::state> const& connection) -> void {
+        auto const lock = std::lock_guard{this->mutex};
+        this->open.insert(connection);
+    }
+
+    auto forget(std::shared_ptr<http_responder::state> const& connection) -> void {
+        auto const lock = std::lock_guard{this->mutex};
+        this->open.erase(connection);
+    }
+
+    auto close_idle() -> void {
+        auto const lock = std::lock_guard{this->mutex};
+        for (auto const& connection : this->open) {
+            boost::asio::post(connection->stream.get_executor(), [connection] {
+                if (!connection->serving && connection->buffer.size() == 0) {
+                    connection->stream.close();
+                }
+            });
+        }
+    }
+
     auto secure(http_responder::state& connection) -> bool {
         if (!this->identity) {
             return true;
@@ -364,6 +408,7 @@
             return;
         }
         while (connection.keep_alive && !connection.gone) {
+            connection.limits = this->current_limits();
             auto parser = request_parser{};
             if (!connection.await_request() || !connection.read_request(parser)) {
                 return;
@@ -394,6 +439,19 @@
     return this->shared->requests;
 }
 
+auto http_server::set_limits(http_limits const& limits) -> void {
+    auto const lock = std::lock_guard{this->shared->mutex};
+    this->shared->limits = limits;
+}
+
+auto http_server::close_after_answers() -> void {
+    this->shared->closing = true;
+}
+
+auto http_server::close_idle() -> void {
+    this->shared->close_idle();
+}
+
 auto http_server::stop_accepting() -> void {
     this->shared->accepting = false;
     asio::post(this->shared->acceptor.get_executor(), [self = this->shared] {
--- a/linnetlane/runtime/internal/byte_stream.cpp
+++ b/linnetlane/runtime/internal/byte_stream.cpp
@@ -1,6 +1,7 @@
 #include "linnetlane/runtime/internal/byte_stream.h"
 
 #include <poll.h>
+#include <sys/socket.h>
 
 #include <boost/asio/ip/address.hpp>
 
@@ -62,7 +63,11 @@
 }
 
 auto byte_stream::peer_closed() -> bool {
-    return (poll_now(this->socket(), POLLRDHUP) & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+    if ((poll_now(this->socket(), POLLRDHUP) & (POLLRDHUP | POLLHUP | POLLERR)) != 0) {
+        return true;
+    }
+    auto byte = char{};
+    return ::recv(this->socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
 }
 
 auto byte_stream::quiet() -> bool {
--- a/linnetlane/telemetry/field.h
+++ b/linnetlane/telemetry/field.h
@@ -31,6 +31,7 @@
     field(base::upstream_id const& id) : field{checked{}, "upstream", name_of(id)} {}
     field(base::service_id const& id) : field{checked{}, "service", name_of(id)} {}
     field(base::caller_id const& id) : field{checked{}, "caller", name_of(id)} {}
+    field(base::caller_request_id const& id) : field{checked{}, "request", name_of(id)} {}
     field(base::cell_id const& id) : field{checked{}, "cell", name_of(id)} {}
     field(base::generation number) : field{checked{}, "generation", value_type{number.value}} {}
     field(base::incarnation number) : field{checked{}, "incarnation", value_type{number.value}} {}
@@ -48,6 +49,11 @@
     // Seconds.
     field(literal name, base::duration span)
         : field{checked{}, name, value_type{base::to_seconds(span)}} {}
+    // A name under another label than the one of its kind.
+    template <typename Tag>
+    static auto named(literal name, base::basic_name<Tag> const& id) -> field {
+        return {checked{}, name, name_of(id)};
+    }
     // Another host than the one that writes.
     static auto peer(base::host_id const& id) -> field { return {checked{}, "peer", name_of(id)}; }
 
