Generation: the prefill engine's record is held by value

The prefill kept a pointer into the table of upstreams while it waited for the engine; when the registry dropped the record meanwhile, the pointer dangled. The last log line of each crash was a change of the upstreams, or of the request that used it.

Ruled out: the cancellation hook (its closure holds the connection by shared ownership), the memory bound (8 MB of 110).

Change: the record is passed by value, as the reservation did already.

--- a/linnetlane/router/generation_forward.h
+++ b/linnetlane/router/generation_forward.h
@@ -206,7 +206,8 @@
         return true;
     }
 
-    auto prefill_at(routing::upstream_record const& engine) -> std::optional<prefill_location> {
+    // By value: the registry may drop the record while the engine reads.
+    auto prefill_at(routing::upstream_record engine) -> std::optional<prefill_location> {
         auto& pool = this->context.state().generation;
         pool.begin(engine.id, this->prompt());
         auto const now = base::monotonic_clock::now();
