Generation: memory for twice the expected answer, and up to twelve engines asked

Ruled out: a larger share of decode engines alone, since preemptions came with fewer engines busy too.

Conclusion: both are settings now (output_margin, engines_asked) with 2.0 and 12.

--- a/linnetlane/router/generation_forward.h
+++ b/linnetlane/router/generation_forward.h
@@ -149,7 +149,9 @@
     }
 
     [[nodiscard]] auto needed() const -> base::token_count {
-        return this->context.caller.size ? routing::memory_to_reserve(*this->context.caller.size)
+        return this->context.caller.size ? routing::memory_to_reserve(
+                                               *this->context.caller.size,
+                                               this->context.parts.settings.generation.output_margin)
                                          : base::token_count{0};
     }
 
--- a/linnetlane/router/registry_follower.h
+++ b/linnetlane/router/registry_follower.h
@@ -213,6 +213,10 @@
     auto take(upstream_changes const& changes) -> void {
         auto const now = base::monotonic_clock::now();
         auto& upstreams = this->parts.known.upstreams;
+        this->parts.log.write(telemetry::log_level::debug, "upstream changes read",
+                              {{"put", static_cast<std::int64_t>(changes.put.size())},
+                               {"removed", static_cast<std::int64_t>(changes.removed.size())},
+                               {"position", static_cast<std::int64_t>(changes.position.value)}});
         if (changes.removed.size() > upstreams.all().size() / 4 + 1) {
             // So many at once have not left: their entries lapsed while the registry was away.
             upstreams.begin_grace(now);
--- a/linnetlane/router/settings.cpp
+++ b/linnetlane/router/settings.cpp
@@ -48,6 +48,9 @@
     if (reader.read("engines_asked", target.engines_asked) && target.engines_asked == 0) {
         reader.report(toml_fault::out_of_bounds, "engines_asked", "expected 1 or more");
     }
+    if (reader.read("output_margin", target.output_margin) && target.output_margin <= 0) {
+        reader.report(toml_fault::out_of_bounds, "output_margin", "expected more than 0");
+    }
 }
 
 auto read_all(toml_reader& reader, router_settings& target) -> void {
--- a/linnetlane/router/settings.h
+++ b/linnetlane/router/settings.h
@@ -39,7 +39,9 @@
     // times the usual prompts of docs/MEASUREMENTS.md.
     base::fraction prefill_share{0.22};
     // Engines that are asked for a place to decode before a request is refused.
-    std::size_t engines_asked = 3;
+    std::size_t engines_asked = 12;
+    // Memory reserved for an answer, as a multiple of the caller's estimate of its length.
+    double output_margin = 2.0;
 };
 
 struct router_settings {
--- a/linnetlane/routing/generation_pool.cpp
+++ b/linnetlane/routing/generation_pool.cpp
@@ -20,11 +20,11 @@
 
 }  // namespace
 
-auto memory_to_reserve(generation_size const& size) -> base::token_count {
+auto memory_to_reserve(generation_size const& size, double margin) -> base::token_count {
     auto const bound = static_cast<double>(size.most_output.value);
     auto const expected =
         size.expected_output
-            ? generation_pool::output_margin * static_cast<double>(size.expected_output->value)
+            ? margin * static_cast<double>(size.expected_output->value)
             : generation_pool::output_share_of_bound * bound;
     return size.prompt +
            base::token_count{static_cast<std::int64_t>(std::ceil(std::min(expected, bound)))};
--- a/linnetlane/routing/generation_pool.h
+++ b/linnetlane/routing/generation_pool.h
@@ -32,15 +32,15 @@
     std::optional<base::token_count> expected_output;
 };
 
-// The memory to reserve for a generation that is as long as expected, with a margin.
-[[nodiscard]] auto memory_to_reserve(generation_size const& size) -> base::token_count;
+// The memory to reserve for a generation whose answer may be `margin` times as long as expected, up
+// to its bound. Estimates of answers are right at the median only; an answer that outgrows its
+// reservation may be preempted and read again.
+[[nodiscard]] auto memory_to_reserve(generation_size const& size, double margin)
+    -> base::token_count;
 
 // Belongs to one worker. One for each service with engines.
 class generation_pool {
 public:
-    // Estimates of answers are right at the median only; longer ones outgrow a reservation without
-    // this margin and are preempted.
-    static constexpr auto output_margin = 1.2;
     // Without the caller's estimate, answers are about half of their bound.
     static constexpr auto output_share_of_bound = 0.6;
     // How long an engine that had no room is asked last.
