Registry: long waits for changes on probed connections, a cheap heartbeat that interrupts them

Change: waits of 15 s; the kernel probes the connection while it is silent; the renewal of the host's lease, a tenth of a call, runs every 2 s and interrupts the waits when the store doesn't answer it. Expected answers are the geometric mean of the caller's estimate and the usual length, with margin 1.9.

Ruled out: heartbeats of upstreams waking the waits (they don't change entries).

--- a/linnetlane/router/host.h
+++ b/linnetlane/router/host.h
@@ -63,6 +63,7 @@
                                 });
         this->parts.pool.spawn([this] { this->configurations.run(); });
         this->parts.pool.spawn([this] { this->upstreams.run(); });
+        this->parts.pool.spawn([this] { this->upstreams.sweep(); });
         this->parts.pool.spawn([this] { this->membership.run(); });
         this->log.write(telemetry::log_level::info, "started",
                         {this->settings.listen.callers,
--- a/linnetlane/router/host_membership.h
+++ b/linnetlane/router/host_membership.h
@@ -29,7 +29,8 @@
 public:
     // Several intervals, so that a lost call or two changes nothing.
     static constexpr auto lease_span = std::chrono::seconds{10};
-    static constexpr auto interval = std::chrono::milliseconds{2500};
+    static constexpr auto interval = std::chrono::milliseconds{2000};
+    static constexpr auto list_interval = std::chrono::seconds{6};
     // In the first seconds the pools are brought to their sizes before callers come.
     static constexpr auto first_interval = std::chrono::milliseconds{300};
     static constexpr auto first_intervals = 8;
@@ -73,7 +74,29 @@
         if (this->leaving) {
             return;
         }
-        this->hold_lease();
+        if (!this->hold_lease()) {
+            // The registry may have fallen silent towards the waiting calls as well.
+            this->registry.interrupt_waits();
+            return;
+        }
+        if (this->list_due()) {
+            this->list();
+        }
+        this->order_changes();
+    }
+
+    // Early on, every step, so that the pools have their sizes before callers come.
+    auto list_due() -> bool {
+        auto const now = base::monotonic_clock::now();
+        if (now < this->next_list) {
+            return false;
+        }
+        auto const early = now < this->started_at + fleet_start;
+        this->next_list = now + (early ? base::duration{first_interval} : base::duration{list_interval});
+        return true;
+    }
+
+    auto list() -> void {
         auto const listing =
             this->registry.list_hosts(base::monotonic_clock::now() + call_patience);
         if (base::failure_of(listing) != nullptr) {
@@ -88,33 +111,35 @@
         }
         this->parts.known.hosts = std::max<std::size_t>(this->most_hosts, 1);
         this->claim_right(listed);
-        this->order_changes();
     }
 
-    auto hold_lease() -> void {
+    // Renews the lease or takes a new one; whether the registry answered.
+    auto hold_lease() -> bool {
         auto const now = base::boot_clock::now();
         auto const deadline = base::monotonic_clock::now() + call_patience;
         if (this->lease) {
             auto const kept = this->registry.keep(*this->lease, deadline);
             if (auto const* const lasts = std::get_if<base::duration>(&kept)) {
                 this->lease_until = now + *lasts;
-                return;
+                return true;
             }
-            if (std::get<registry_failure>(kept) != registry_failure::lease_ended &&
-                base::boot_clock::now() < this->lease_until) {
-                return;
+            if (std::get<registry_failure>(kept) != registry_failure::lease_ended) {
+                return false;
             }
             this->parts.log.write(telemetry::log_level::warning, "lease in the registry ended",
-                                  {this->parts.settings.host, {"gave_orders", this->right.has_value()}});
+                                  {this->parts.settings.host,
+                                   {"gave_orders", this->right.has_value()}});
             this->lease.reset();
             this->right.reset();
         }
-        auto const joined =
-            this->registry.join(this->parts.settings.host, lease_span, deadline);
-        if (auto const* const granted = std::get_if<granted_lease>(&joined)) {
-            this->lease = granted->lease;
-            this->lease_until = now + granted->lasts;
+        auto const joined = this->registry.join(this->parts.settings.host, lease_span, deadline);
+        auto const* const granted = std::get_if<granted_lease>(&joined);
+        if (granted == nullptr) {
+            return false;
         }
+        this->lease = granted->lease;
+        this->lease_until = now + granted->lasts;
+        return true;
     }
 
     auto claim_right(host_listing const& listed) -> void {
@@ -245,6 +270,7 @@
     std::optional<registry_lease> lease;
     base::boot_clock::time_point lease_until;
     std::optional<order_right> right;
+    base::time_point next_list = base::time_point::min();
     std::size_t most_hosts = 0;
     base::time_point most_hosts_until = base::time_point::min();
     std::map<base::service_id, routing::stage_split> splits;
--- a/linnetlane/router/messages.h
+++ b/linnetlane/router/messages.h
@@ -219,6 +219,8 @@
     {
         registry.await_upstreams(position, wait, deadline)
     } -> std::same_as<base::result<upstream_changes, registry_failure>>;
+    // Ends the calls that wait for changes; they give `unavailable`.
+    { registry.interrupt_waits() };
     // Enters this host in the list of hosts.
     { registry.join(host, wait, deadline) } -> std::same_as<base::result<granted_lease, registry_failure>>;
     { registry.keep(lease, deadline) } -> std::same_as<base::result<base::duration, registry_failure>>;
--- a/linnetlane/router/registry_follower.h
+++ b/linnetlane/router/registry_follower.h
@@ -19,15 +19,15 @@
 
 // Timing of the calls on the registry.
 struct follow_timing {
-    // How long a call waits for changes. A connection that went silent is noticed after it, so it
-    // is short against the two seconds in which changes take effect everywhere.
-    static constexpr auto wait = std::chrono::milliseconds{2500};
+    // How long a call waits for changes. A registry that fell silent meanwhile is noticed sooner, by
+    // probes of the connection and by the calls of `host_membership`, which interrupt the wait.
+    static constexpr auto wait = std::chrono::seconds{15};
     // Beyond the wait, before a call counts as lost.
     static constexpr auto patience = std::chrono::milliseconds{700};
     // For a read of everything.
     static constexpr auto read_patience = std::chrono::milliseconds{1500};
     // Between two reads of changes, to take several at once.
-    static constexpr auto gather = std::chrono::milliseconds{100};
+    static constexpr auto gather = std::chrono::milliseconds{200};
     static constexpr auto first_pause = std::chrono::milliseconds{50};
     static constexpr auto longest_pause = std::chrono::milliseconds{800};
 };
@@ -150,9 +150,19 @@
 template <router_registry Registry>
 class upstream_follower {
 public:
+    static constexpr auto sweep_interval = std::chrono::milliseconds{200};
+
     upstream_follower(Registry& own_registry, host_parts const& own_parts)
         : registry{own_registry}, parts{own_parts}, watchdog{own_parts, "upstreams"} {}
 
+    // Drops records whose grace is over. Never returns.
+    [[noreturn]] auto sweep() -> void {
+        for (;;) {
+            runtime::sleep_until(base::monotonic_clock::now() + sweep_interval);
+            this->expire();
+        }
+    }
+
     // Never returns.
     [[noreturn]] auto run() -> void {
         for (;;) {
@@ -171,7 +181,6 @@
         if (auto const* const failure = base::failure_of(listing)) {
             this->parts.known.upstreams.note_outage();
             this->watchdog.failed(*failure);
-            this->expire();
             this->pause.after_failure(this->parts.known.draw());
             return std::nullopt;
         }
@@ -232,7 +241,7 @@
             }
         }
         this->log_gone(gone);
-        if (!this->expire() && (!changes.put.empty() || !gone.empty())) {
+        if (!changes.put.empty() || !gone.empty()) {
             this->publish();
         }
     }
@@ -256,15 +265,12 @@
         }
     }
 
-    // Drops what was missing for too long; whether anything was.
-    auto expire() -> bool {
+    auto expire() -> void {
         auto const gone = this->parts.known.upstreams.expire(base::monotonic_clock::now());
-        if (gone.empty()) {
-            return false;
+        if (!gone.empty()) {
+            this->log_gone(gone);
+            this->publish();
         }
-        this->log_gone(gone);
-        this->publish();
-        return true;
     }
 
     auto log_gone(std::vector<base::upstream_id> const& gone) const -> void {
--- a/linnetlane/router/settings.h
+++ b/linnetlane/router/settings.h
@@ -40,8 +40,8 @@
     base::fraction prefill_share{0.22};
     // Engines that are asked for a place to decode before a request is refused.
     std::size_t engines_asked = 12;
-    // Memory reserved for an answer, as a multiple of the caller's estimate of its length.
-    double output_margin = 2.0;
+    // Memory reserved for an answer, as a multiple of its expected length.
+    double output_margin = 1.9;
 };
 
 struct router_settings {
--- a/linnetlane/routing/generation_pool.cpp
+++ b/linnetlane/routing/generation_pool.cpp
@@ -20,14 +20,19 @@
 
 }  // namespace
 
+auto expected_output(generation_size const& size) -> double {
+    auto const usual =
+        generation_pool::usual_share_of_bound * static_cast<double>(size.most_output.value);
+    if (!size.expected_output) {
+        return usual;
+    }
+    return std::sqrt(usual * static_cast<double>(size.expected_output->value));
+}
+
 auto memory_to_reserve(generation_size const& size, double margin) -> base::token_count {
     auto const bound = static_cast<double>(size.most_output.value);
-    auto const expected =
-        size.expected_output
-            ? margin * static_cast<double>(size.expected_output->value)
-            : generation_pool::output_share_of_bound * bound;
-    return size.prompt +
-           base::token_count{static_cast<std::int64_t>(std::ceil(std::min(expected, bound)))};
+    auto const reserved = std::min(margin * expected_output(size), bound);
+    return size.prompt + base::token_count{static_cast<std::int64_t>(std::ceil(reserved))};
 }
 
 auto generation_pool::set_members(std::vector<upstream_record> const& records) -> void {
--- a/linnetlane/routing/generation_pool.h
+++ b/linnetlane/routing/generation_pool.h
@@ -32,17 +32,21 @@
     std::optional<base::token_count> expected_output;
 };
 
+// How long an answer is expected to be. A caller's estimate is right at the median and often far
+// off; the usual length of answers is known, too, and the geometric mean of both errs less than
+// either.
+[[nodiscard]] auto expected_output(generation_size const& size) -> double;
+
 // The memory to reserve for a generation whose answer may be `margin` times as long as expected, up
-// to its bound. Estimates of answers are right at the median only; an answer that outgrows its
-// reservation may be preempted and read again.
+// to its bound. An answer that outgrows its reservation may be preempted and read again.
 [[nodiscard]] auto memory_to_reserve(generation_size const& size, double margin)
     -> base::token_count;
 
 // Belongs to one worker. One for each service with engines.
 class generation_pool {
 public:
-    // Without the caller's estimate, answers are about half of their bound.
-    static constexpr auto output_share_of_bound = 0.6;
+    // The median answer, as a share of its bound.
+    static constexpr auto usual_share_of_bound = 0.48;
     // How long an engine that had no room is asked last.
     static constexpr auto full_for = std::chrono::milliseconds{150};
     // After this, what an engine said of its load is too old to be of use.
--- a/linnetlane/runtime/http.h
+++ b/linnetlane/runtime/http.h
@@ -92,6 +92,9 @@
 enum class connection_use {
     // May use a connection kept from an earlier exchange.
     pooled,
+    // As `pooled`, and the other side is probed while it is silent: for calls that wait for news,
+    // where a connection that went dead looks like no news.
+    probed,
     // Always a new connection: a failure to connect then proves that nothing was sent.
     fresh,
 };
@@ -109,6 +112,9 @@
     -> base::result<http_stream, http_failure>;
 
 // Sends `request` and waits for the whole answer. Call on a worker.
+[[nodiscard]] auto fetch(base::endpoint const& to, http_request const& request, connection_use use,
+                         base::time_point deadline, stop_hook const& hook)
+    -> base::result<http_response, http_failure>;
 [[nodiscard]] auto fetch(base::endpoint const& to, http_request const& request, connection_use use,
                          base::time_point deadline) -> base::result<http_response, http_failure>;
 
--- a/linnetlane/runtime/http_client.cpp
+++ b/linnetlane/runtime/http_client.cpp
@@ -40,6 +40,8 @@
 constexpr auto kept_share_of_timeout = 0.6;
 // Connecting takes a round trip and the handshake; one that takes this long is not coming.
 constexpr auto connect_patience = std::chrono::milliseconds{400};
+// Two probes without an answer end a connection.
+constexpr auto probe_interval = std::chrono::seconds{1};
 
 struct connection {
     explicit connection(boost::asio::io_context& context) : stream(context) {}
@@ -111,7 +113,7 @@
     return http_failure{kind_of(error), request_reach::may_have_been_sent};
 }
 
-auto connect(base::endpoint const& to, base::time_point deadline)
+auto connect(base::endpoint const& to, connection_use use, base::time_point deadline)
     -> base::result<connection_pointer, http_failure> {
     auto opened = std::make_shared<connection>(this_context());
     opened->stream.expires_at(
@@ -123,18 +125,21 @@
     if (error) {
         return http_failure{http_failure_kind::connect_failed, request_reach::not_sent};
     }
+    if (use == connection_use::probed) {
+        opened->stream.probe_while_silent(probe_interval);
+    }
     return opened;
 }
 
 auto take_connection(base::endpoint const& to, connection_use use, base::time_point deadline)
     -> base::result<connection_pointer, http_failure> {
-    if (use == connection_use::pooled) {
+    if (use != connection_use::fresh) {
         if (auto kept = take_idle(to)) {
             kept->stream.expires_at(deadline);
             return kept;
         }
     }
-    return connect(to, deadline);
+    return connect(to, use, deadline);
 }
 
 auto to_message(base::endpoint const& to, http_request const& request)
@@ -360,7 +365,13 @@
 
 auto fetch(base::endpoint const& to, http_request const& request, connection_use use,
            base::time_point deadline) -> base::result<http_response, http_failure> {
-    auto opened = open_stream(to, request, use, deadline);
+    return fetch(to, request, use, deadline, [](std::function<void()> const&) {});
+}
+
+auto fetch(base::endpoint const& to, http_request const& request, connection_use use,
+           base::time_point deadline, stop_hook const& hook)
+    -> base::result<http_response, http_failure> {
+    auto opened = open_stream(to, request, use, deadline, hook);
     if (auto const* failure = base::failure_of(opened)) {
         return *failure;
     }
--- a/linnetlane/runtime/internal/byte_stream.cpp
+++ b/linnetlane/runtime/internal/byte_stream.cpp
@@ -1,5 +1,7 @@
 #include "linnetlane/runtime/internal/byte_stream.h"
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <poll.h>
 #include <sys/socket.h>
 
@@ -46,6 +48,19 @@
     return connected.error;
 }
 
+auto byte_stream::probe_while_silent(std::chrono::seconds interval) -> void {
+    auto const descriptor = this->socket().native_handle();
+    auto const set = [descriptor](int level, int option, int value) {
+        // Without probes the call's own deadline ends it, only later.
+        static_cast<void>(::setsockopt(descriptor, level, option, &value, sizeof(value)));
+    };
+    auto const seconds = static_cast<int>(interval.count());
+    set(SOL_SOCKET, SO_KEEPALIVE, 1);
+    set(IPPROTO_TCP, TCP_KEEPIDLE, seconds);
+    set(IPPROTO_TCP, TCP_KEEPINTVL, seconds);
+    set(IPPROTO_TCP, TCP_KEEPCNT, 1);
+}
+
 auto byte_stream::secure(tls_context_pointer context, tls_side side) -> boost::system::error_code {
     this->tls_context = std::move(context);
     this->tls.emplace(this->tcp, *this->tls_context);
--- a/linnetlane/runtime/internal/byte_stream.h
+++ b/linnetlane/runtime/internal/byte_stream.h
@@ -39,6 +39,9 @@
     auto expires_at(base::time_point deadline) -> void { this->tcp.expires_at(deadline); }
     // Opens a connection; the fiber is suspended meanwhile.
     [[nodiscard]] auto connect(base::endpoint const& to) -> boost::system::error_code;
+    // Has the kernel probe the other side after `interval` of silence; two probes without an answer
+    // end the connection.
+    auto probe_while_silent(std::chrono::seconds interval) -> void;
     // Goes over to TLS; the fiber is suspended meanwhile.
     [[nodiscard]] auto secure(tls_context_pointer context, tls_side side)
         -> boost::system::error_code;
