Refusals: callers come back early, and every engine is asked for a place

Conclusion: places come free every few tens of milliseconds even in a burst, so an early return is the better offer to callers; a caller that is sent away for seconds finds the next burst, and its answer is late in any case.

--- a/linnetlane/router/settings.h
+++ b/linnetlane/router/settings.h
@@ -39,7 +39,7 @@
     // times the usual prompts of docs/MEASUREMENTS.md.
     base::fraction prefill_share{0.22};
     // Engines that are asked for a place to decode before a request is refused.
-    std::size_t engines_asked = 12;
+    std::size_t engines_asked = 48;
     // Memory reserved for an answer, as a multiple of its expected length.
     double output_margin = 1.9;
 };
--- a/linnetlane/routing/refusal_policy.h
+++ b/linnetlane/routing/refusal_policy.h
@@ -21,7 +21,7 @@
     // The latest return in an overload: bursts last four to five seconds.
     static constexpr auto late_return = std::chrono::seconds{4};
     // The share of requests refused lately from which on it is an overload.
-    static constexpr auto overload_share = 0.35;
+    static constexpr auto overload_share = 0.95;
     // Weight of the newest request in that share.
     static constexpr auto newest_weight = 0.08;
 
