--- a/linnetlane/router/generation_forward.h
+++ b/linnetlane/router/generation_forward.h
@@ -24,6 +24,8 @@
 public:
     // Engines answer reservations from memory; one that takes this long is cut off or gone.
     static constexpr auto reservation_patience = std::chrono::milliseconds{250};
+    // The part of the target latency in which engines are asked; what is left is for the prefill.
+    static constexpr auto asking_share_of_target = 0.4;
     // The least that a prefill is waited for: reading a long prompt behind two others.
     static constexpr auto least_prefill_patience = std::chrono::milliseconds{900};
     // Whole tries (place, prefill, decode) for one request.
@@ -104,7 +106,14 @@
                                    known.draw(), base::monotonic_clock::now());
         this->reservation_failure =
             candidates.empty() ? try_result::unreachable : try_result::no_room;
+        auto const enough =
+            base::monotonic_clock::now() +
+            std::chrono::duration_cast<base::duration>(this->context.route.target_latency *
+                                                       asking_share_of_target);
         for (auto const& id : candidates) {
+            if (base::monotonic_clock::now() >= enough) {
+                return std::nullopt;
+            }
             auto const* const record = known.upstreams.find(id);
             if (record == nullptr) {
                 continue;
--- a/linnetlane/router/host.h
+++ b/linnetlane/router/host.h
@@ -32,7 +32,7 @@
     // New requests are answered for this long after SIGTERM; later ones might not end in time.
     static constexpr auto accepts_for = std::chrono::milliseconds{3200};
     // Before the end of the grace time, for the process to end by itself.
-    static constexpr auto exit_margin = std::chrono::milliseconds{300};
+    static constexpr auto exit_margin = std::chrono::milliseconds{800};
     static constexpr auto idle_check = std::chrono::milliseconds{100};
     // For a caller that comes before the first configuration.
     static constexpr auto configuration_wait = std::chrono::milliseconds{400};
--- a/linnetlane/router/region.cpp
+++ b/linnetlane/router/region.cpp
@@ -5,7 +5,7 @@
 auto region::service(base::service_id const& id) -> service_state& {
     auto& state = this->services[id];
     if (!state) {
-        state = std::make_unique<service_state>(this->bounds);
+        state = std::make_unique<service_state>(this->bounds, this->reach);
     }
     return *state;
 }
--- a/linnetlane/router/region.h
+++ b/linnetlane/router/region.h
@@ -24,7 +24,8 @@
 
 // What a host knows of one service.
 struct service_state {
-    explicit service_state(routing::retry_bounds const& bounds) : repeats{bounds} {}
+    service_state(routing::retry_bounds const& bounds, routing::data_centre_reach& ways)
+        : plain{ways}, generation{ways}, repeats{bounds} {}
 
     routing::plain_pool plain;
     routing::generation_pool generation;
@@ -61,6 +62,7 @@
 
 private:
     routing::retry_bounds bounds;
+    routing::data_centre_reach reach;
     std::minstd_rand random;
     std::map<base::service_id, std::unique_ptr<service_state>> services;
 };
--- a/linnetlane/routing/generation_pool.cpp
+++ b/linnetlane/routing/generation_pool.cpp
@@ -44,6 +44,7 @@
         listed.insert(record.id);
         auto& one = this->members[record.id];
         one.stage = *record.stage;
+        one.data_centre = record.data_centre;
         one.leaving = record.leaving;
     }
     std::erase_if(this->members, [&](auto const& entry) { return !listed.contains(entry.first); });
@@ -61,7 +62,7 @@
         }
         auto const cost =
             this->load_of(one, now) + draw_spread * this->usual_tokens * turned(draw, index);
-        order.emplace_back(!one.health.usable(now), now < one.full_until, cost, id);
+        order.emplace_back(this->doubtful(one, now), now < one.full_until, cost, id);
     }
     std::ranges::sort(order);
     auto chosen = std::vector<base::upstream_id>{};
@@ -87,7 +88,7 @@
         }
         auto const cost =
             this->load_of(one, now) + draw_spread * this->usual_tokens * turned(draw, index);
-        auto const candidate = ranked{!one.health.usable(now), cost, id};
+        auto const candidate = ranked{this->doubtful(one, now), cost, id};
         if (!best || candidate < *best) {
             best = candidate;
         }
@@ -98,6 +99,7 @@
 auto generation_pool::note_full(base::upstream_id const& id, base::time_point now) -> void {
     if (auto const found = this->members.find(id); found != this->members.end()) {
         found->second.full_until = now + full_for;
+        this->reach->note_answer(found->second.data_centre, now);
     }
 }
 
@@ -131,6 +133,11 @@
         sum += other == id ? 0.0 : one.health.failed_share();
     }
     auto const peers = this->members.size() > 1 ? static_cast<double>(this->members.size() - 1) : 1;
+    if (outcome == exchange_outcome::transport_failure) {
+        this->reach->note_silence(found->second.data_centre, now);
+    } else {
+        this->reach->note_answer(found->second.data_centre, now);
+    }
     found->second.health.note(outcome, sum / peers, now);
 }
 
--- a/linnetlane/routing/generation_pool.h
+++ b/linnetlane/routing/generation_pool.h
@@ -17,6 +17,7 @@
 #include "linnetlane/base/ids.h"
 #include "linnetlane/base/time.h"
 #include "linnetlane/base/units.h"
+#include "linnetlane/routing/data_centre_reach.h"
 #include "linnetlane/routing/load_report.h"
 #include "linnetlane/routing/upstream_health.h"
 #include "linnetlane/routing/upstream_set.h"
@@ -52,6 +53,9 @@
     // After this, what an engine said of its load is too old to be of use.
     static constexpr auto load_report_validity = std::chrono::milliseconds{800};
 
+    // `ways` outlives the pool.
+    explicit generation_pool(data_centre_reach& ways) : reach{&ways} {}
+
     auto set_members(std::vector<upstream_record> const& records) -> void;
     auto forget(base::upstream_id const& id) -> void { this->members.erase(id); }
 
@@ -78,6 +82,7 @@
 private:
     struct member {
         engine_stage stage = engine_stage::decode;
+        base::data_centre_id data_centre;
         bool leaving = false;
         base::token_count under_way;
         std::size_t requests = 0;
@@ -87,8 +92,13 @@
         upstream_health health;
     };
 
+    // Whether to ask it only when nothing better is left.
+    [[nodiscard]] auto doubtful(member const& one, base::time_point now) const -> bool {
+        return !one.health.usable(now) || this->reach->doubted(one.data_centre, now);
+    }
     [[nodiscard]] auto load_of(member const& one, base::time_point now) const -> double;
 
+    data_centre_reach* reach;
     std::map<base::upstream_id, member> members;
     // Tokens of a usual request, to weigh requests of other hosts.
     double usual_tokens = 0;
--- a/linnetlane/routing/plain_pool.cpp
+++ b/linnetlane/routing/plain_pool.cpp
@@ -24,6 +24,7 @@
         listed.insert(record.id);
         auto& one = this->members[record.id];
         one.slots = std::max<std::size_t>(record.slots, 1);
+        one.data_centre = record.data_centre;
         one.leaving = record.leaving;
     }
     std::erase_if(this->members, [&](auto const& entry) { return !listed.contains(entry.first); });
@@ -40,7 +41,8 @@
         if (one.leaving || tried.contains(id)) {
             continue;
         }
-        auto const usable = one.health.usable(now);
+        auto const usable =
+            one.health.usable(now) && !this->reach->doubted(one.data_centre, now);
         // A different part of the draw for each upstream.
         auto const turned = draw * static_cast<double>(index) * 7.0;
         auto const jitter = 1 + draw_spread * (turned - static_cast<double>(static_cast<int>(turned)));
@@ -69,7 +71,10 @@
     auto& one = found->second;
     one.under_way -= std::min<std::size_t>(one.under_way, 1);
     one.health.note(ending.outcome, this->failed_share_of_others(id), now);
-    if (ending.outcome != exchange_outcome::transport_failure) {
+    if (ending.outcome == exchange_outcome::transport_failure) {
+        this->reach->note_silence(one.data_centre, now);
+    } else {
+        this->reach->note_answer(one.data_centre, now);
         auto const seconds = base::to_seconds(ending.took);
         learn(one.learned_seconds, seconds, newest_weight);
         learn(this->usual_seconds, seconds, newest_weight / 4);
--- a/linnetlane/routing/plain_pool.h
+++ b/linnetlane/routing/plain_pool.h
@@ -15,6 +15,7 @@
 
 #include "linnetlane/base/ids.h"
 #include "linnetlane/base/time.h"
+#include "linnetlane/routing/data_centre_reach.h"
 #include "linnetlane/routing/load_report.h"
 #include "linnetlane/routing/upstream_health.h"
 #include "linnetlane/routing/upstream_set.h"
@@ -37,6 +38,9 @@
     // After this, what an upstream said of its load says nothing about the other hosts any more.
     static constexpr auto load_report_validity = std::chrono::milliseconds{500};
 
+    // `ways` outlives the pool.
+    explicit plain_pool(data_centre_reach& ways) : reach{&ways} {}
+
     // Takes the upstreams of the service; those that restarted are forgotten first by `forget`.
     auto set_members(std::vector<upstream_record> const& records) -> void;
     auto forget(base::upstream_id const& id) -> void { this->members.erase(id); }
@@ -52,6 +56,7 @@
 private:
     struct member {
         std::size_t slots = 1;
+        base::data_centre_id data_centre;
         bool leaving = false;
         std::size_t under_way = 0;
         // Seconds for one request on an idle upstream.
@@ -65,6 +70,7 @@
     [[nodiscard]] auto expected_seconds(member const& one, base::time_point now) const -> double;
     [[nodiscard]] auto failed_share_of_others(base::upstream_id const& id) const -> double;
 
+    data_centre_reach* reach;
     std::map<base::upstream_id, member> members;
     // Learned over all upstreams, for those that have answered nothing yet.
     double usual_seconds = 0;
--- a/linnetlane/routing/refusal_policy.h
+++ b/linnetlane/routing/refusal_policy.h
@@ -17,7 +17,7 @@
 class refusal_policy {
 public:
     // The mean return in a squeeze; about a third of it is spread to either side.
-    static constexpr auto early_return = std::chrono::milliseconds{300};
+    static constexpr auto early_return = std::chrono::milliseconds{150};
     // The latest return in an overload: bursts last four to five seconds.
     static constexpr auto late_return = std::chrono::seconds{4};
     // The share of requests refused lately from which on it is an overload.
