--- a/linnetlane/daemon/router_process.cpp
+++ b/linnetlane/daemon/router_process.cpp
@@ -77,9 +77,9 @@
         {settings.host, settings.data_centre},
         std::make_shared<telemetry::bounded_sink>(STDOUT_FILENO, telemetry::sink_bounds{})};
     auto pool = runtime::worker_pool{runtime::worker_count{1}};
-    auto running = std::make_unique<host>(pool, settings,
-                                          users_platform::registry{settings.coordination}, log,
-                                          std::random_device{}());
+    auto running =
+        std::make_unique<host>(pool, settings, users_platform::registry{settings.coordination}, log,
+                               std::random_device{}());
     try {
         running->start();
     } catch (std::exception const& error) {
--- a/linnetlane/router/generation_forward.h
+++ b/linnetlane/router/generation_forward.h
@@ -106,10 +106,9 @@
                                    known.draw(), base::monotonic_clock::now());
         this->reservation_failure =
             candidates.empty() ? try_result::unreachable : try_result::no_room;
-        auto const enough =
-            base::monotonic_clock::now() +
-            std::chrono::duration_cast<base::duration>(this->context.route.target_latency *
-                                                       asking_share_of_target);
+        auto const enough = base::monotonic_clock::now() +
+                            std::chrono::duration_cast<base::duration>(
+                                this->context.route.target_latency * asking_share_of_target);
         for (auto const& id : candidates) {
             if (base::monotonic_clock::now() >= enough) {
                 return std::nullopt;
@@ -158,10 +157,11 @@
     }
 
     [[nodiscard]] auto needed() const -> base::token_count {
-        return this->context.caller.size ? routing::memory_to_reserve(
-                                               *this->context.caller.size,
-                                               this->context.parts.settings.generation.output_margin)
-                                         : base::token_count{0};
+        return this->context.caller.size
+                   ? routing::memory_to_reserve(
+                         *this->context.caller.size,
+                         this->context.parts.settings.generation.output_margin)
+                   : base::token_count{0};
     }
 
     [[nodiscard]] auto prompt() const -> base::token_count {
@@ -255,11 +255,12 @@
         }
         auto const body = opened->stream.read_all(plain_answer_bytes, deadline);
         auto const whole = base::failure_of(body) == nullptr && opened->head.status == 200;
-        auto const made =
-            whole ? Wire::read_prefill_result(base::value_of(body)) : std::nullopt;
+        auto const made = whole ? Wire::read_prefill_result(base::value_of(body)) : std::nullopt;
         if (!opened->head.not_run) {
-            pool.note_outcome(engine.id, made ? routing::exchange_outcome::answered
-                                              : routing::exchange_outcome::failed_answer, now);
+            pool.note_outcome(engine.id,
+                              made ? routing::exchange_outcome::answered
+                                   : routing::exchange_outcome::failed_answer,
+                              now);
         }
         return made ? std::optional{prefill_location{engine.address, *made}} : std::nullopt;
     }
@@ -280,10 +281,9 @@
         }
         auto const terms = send_terms{reserved.engine.id, this->context.answer_by - now};
         auto const decoding = decode_terms{source, reserved.reservation, this->relay.last_event()};
-        auto result =
-            exchange<Wire>(this->context, reserved.engine.address,
-                           Wire::decode(this->context.caller, terms, decoding),
-                           this->context.answer_by);
+        auto result = exchange<Wire>(this->context, reserved.engine.address,
+                                     Wire::decode(this->context.caller, terms, decoding),
+                                     this->context.answer_by);
         if (auto const* const failure = std::get_if<exchange_failure_kind>(&result)) {
             return this->after_decode_failure(reserved, source, *failure);
         }
@@ -302,9 +302,9 @@
         if (failure == exchange_failure_kind::caller_left) {
             return try_result::caller_left;
         }
-        this->context.state().generation.note_outcome(
-            reserved.engine.id, routing::exchange_outcome::transport_failure,
-            base::monotonic_clock::now());
+        this->context.state().generation.note_outcome(reserved.engine.id,
+                                                      routing::exchange_outcome::transport_failure,
+                                                      base::monotonic_clock::now());
         this->log_step(reserved.engine.id, "decode got no answer");
         if (failure == exchange_failure_kind::not_sent) {
             return try_result::try_again;
@@ -349,8 +349,9 @@
         this->decoded_at = reserved.engine.id;
         auto const broke_off = ending == relay_ending::broke_off;
         this->context.state().generation.note_outcome(
-            reserved.engine.id, broke_off ? routing::exchange_outcome::transport_failure
-                                          : routing::exchange_outcome::answered,
+            reserved.engine.id,
+            broke_off ? routing::exchange_outcome::transport_failure
+                      : routing::exchange_outcome::answered,
             base::monotonic_clock::now());
         switch (ending) {
             case relay_ending::complete:
@@ -419,13 +420,13 @@
             return request_end{request_outcome::cut_off, this->relay.status()};
         }
         auto refused = refusal{reason, std::nullopt};
-        auto const promises = reason != refusal_reason::timed_out &&
-                              reason != refusal_reason::outcome_unknown;
+        auto const promises =
+            reason != refusal_reason::timed_out && reason != refusal_reason::outcome_unknown;
         if (promises && this->ran) {
             refused.reason = refusal_reason::outcome_unknown;
         } else if (promises) {
-            refused.come_back_after = this->context.state().refusals.come_back_after(
-                this->context.parts.known.draw());
+            refused.come_back_after =
+                this->context.state().refusals.come_back_after(this->context.parts.known.draw());
         }
         return refuse<Wire>(this->context, refused);
     }
@@ -433,7 +434,10 @@
     auto log_step(base::upstream_id const& engine, telemetry::literal what) const -> void {
         this->context.parts.log.write(
             telemetry::log_level::info, "step of a generation failed",
-            {this->context.caller.id, this->context.service, engine, {"what", what},
+            {this->context.caller.id,
+             this->context.service,
+             engine,
+             {"what", what},
              {"age", base::monotonic_clock::now() - this->context.arrived}});
     }
 
@@ -447,9 +451,8 @@
              {"prefills", static_cast<std::int64_t>(this->prefills)},
              telemetry::field::named("prefilled_at", this->prefilled_at),
              telemetry::field::named("decoded_at", this->decoded_at),
-             {"first_event_after",
-              this->relay.first_part_at().value_or(this->context.arrived) -
-                  this->context.arrived}});
+             {"first_event_after", this->relay.first_part_at().value_or(this->context.arrived) -
+                                       this->context.arrived}});
     }
 
     // Of small answers of engines.
--- a/linnetlane/router/host.h
+++ b/linnetlane/router/host.h
@@ -37,8 +37,8 @@
     // For a caller that comes before the first configuration.
     static constexpr auto configuration_wait = std::chrono::milliseconds{400};
 
-    router_host(runtime::worker_pool& own_pool, router_settings own_settings,
-                Registry own_registry, telemetry::event_log const& own_log, std::uint32_t seed)
+    router_host(runtime::worker_pool& own_pool, router_settings own_settings, Registry own_registry,
+                telemetry::event_log const& own_log, std::uint32_t seed)
         : settings{std::move(own_settings)},
           registry{std::move(own_registry)},
           log{own_log},
@@ -51,11 +51,9 @@
 
     // Throws `boost::system::system_error` if an address can't be bound.
     auto start() -> void {
-        this->callers.emplace(this->parts.pool, this->settings.listen.callers,
-                              runtime::http_limits{},
-                              [this](auto const& request, auto& responder) {
-                                  this->serve(request, responder);
-                              });
+        this->callers.emplace(
+            this->parts.pool, this->settings.listen.callers, runtime::http_limits{},
+            [this](auto const& request, auto& responder) { this->serve(request, responder); });
         this->operators.emplace(this->parts.pool, this->settings.listen.operators,
                                 runtime::http_limits{},
                                 [this](auto const& request, auto& responder) {
@@ -65,9 +63,9 @@
         this->parts.pool.spawn([this] { this->upstreams.run(); });
         this->parts.pool.spawn([this] { this->upstreams.sweep(); });
         this->parts.pool.spawn([this] { this->membership.run(); });
-        this->log.write(telemetry::log_level::info, "started",
-                        {this->settings.listen.callers,
-                         telemetry::field::named("host", this->settings.host)});
+        this->log.write(
+            telemetry::log_level::info, "started",
+            {this->settings.listen.callers, telemetry::field::named("host", this->settings.host)});
     }
 
     // Answers what is under way and calls `ended` then, within the grace time. Thread-safe; a
@@ -97,9 +95,9 @@
         while (this->callers->requests_under_way() > 0 && base::monotonic_clock::now() < latest) {
             runtime::sleep_until(base::monotonic_clock::now() + idle_check);
         }
-        this->log.write(telemetry::log_level::info, "stopped",
-                        {{"requests_cut_off",
-                          static_cast<std::int64_t>(this->callers->requests_under_way())}});
+        this->log.write(
+            telemetry::log_level::info, "stopped",
+            {{"requests_cut_off", static_cast<std::int64_t>(this->callers->requests_under_way())}});
         ended();
     }
 
@@ -152,9 +150,9 @@
         auto const allowed = std::min(route->timeout, caller.allowed.value_or(route->timeout));
         auto cancelled = cancellation{};
         responder.on_client_gone([&] { cancelled.cancel(); });
-        auto const context =
-            request_context{this->parts,   responder,  caller,  configuration,     *route,
-                            *service,      arrived,    arrived + allowed, cancelled};
+        auto const context = request_context{this->parts, responder, caller,  configuration,
+                                             *route,      *service,  arrived, arrived + allowed,
+                                             cancelled};
         this->forward(context);
         responder.on_client_gone([] {});
     }
@@ -177,7 +175,8 @@
         }
         this->log.write(
             telemetry::log_level::info, "request ended",
-            {context.caller.id, context.service,
+            {context.caller.id,
+             context.service,
              telemetry::field::named("route", context.route.name),
              {"version", static_cast<std::int64_t>(context.configuration->version.value)},
              {"outcome", describe(end)},
@@ -238,7 +237,8 @@
         this->log.write(
             telemetry::log_level::info, "request ended",
             {caller.id,
-             {"version", configuration ? static_cast<std::int64_t>(configuration->version.value) : 0},
+             {"version",
+              configuration ? static_cast<std::int64_t>(configuration->version.value) : 0},
              {"outcome", describe(reason)},
              {"status", static_cast<std::int64_t>(response.status)},
              {"caller_left", !sent},
--- a/linnetlane/router/host_membership.h
+++ b/linnetlane/router/host_membership.h
@@ -64,8 +64,8 @@
         this->right.reset();
         if (this->lease) {
             // What can't be told now ends with the lease.
-            static_cast<void>(this->registry.leave(
-                *this->lease, base::monotonic_clock::now() + call_patience));
+            static_cast<void>(
+                this->registry.leave(*this->lease, base::monotonic_clock::now() + call_patience));
         }
     }
 
@@ -92,7 +92,8 @@
             return false;
         }
         auto const early = now < this->started_at + fleet_start;
-        this->next_list = now + (early ? base::duration{first_interval} : base::duration{list_interval});
+        this->next_list =
+            now + (early ? base::duration{first_interval} : base::duration{list_interval});
         return true;
     }
 
@@ -126,9 +127,9 @@
             if (std::get<registry_failure>(kept) != registry_failure::lease_ended) {
                 return false;
             }
-            this->parts.log.write(telemetry::log_level::warning, "lease in the registry ended",
-                                  {this->parts.settings.host,
-                                   {"gave_orders", this->right.has_value()}});
+            this->parts.log.write(
+                telemetry::log_level::warning, "lease in the registry ended",
+                {this->parts.settings.host, {"gave_orders", this->right.has_value()}});
             this->lease.reset();
             this->right.reset();
         }
@@ -146,16 +147,15 @@
         if (!this->lease || this->right || listed.order_giver) {
             return;
         }
-        auto const claimed =
-            this->registry.claim_orders(this->parts.settings.host, *this->lease,
-                                        base::monotonic_clock::now() + call_patience);
+        auto const claimed = this->registry.claim_orders(
+            this->parts.settings.host, *this->lease, base::monotonic_clock::now() + call_patience);
         auto const* const fence = std::get_if<std::optional<base::fencing_number>>(&claimed);
         if (fence == nullptr || !*fence) {
             return;
         }
-        auto const wait = this->first_claim_of_fleet() ? base::duration::zero()
-                                                       : base::duration{this->parts.settings.order_lease +
-                                                                        takeover_margin};
+        auto const wait = this->first_claim_of_fleet()
+                              ? base::duration::zero()
+                              : base::duration{this->parts.settings.order_lease + takeover_margin};
         this->right = order_right{**fence, base::monotonic_clock::now() + wait};
         this->parts.log.write(telemetry::log_level::info, "right to give orders taken",
                               {**fence, {"first_order_after", wait}});
@@ -169,8 +169,8 @@
 
     // Whether the registry agrees right now that this host gives the orders.
     auto confirm_right() -> bool {
-        auto const held = this->registry.holds_orders(
-            this->right->fence, base::monotonic_clock::now() + call_patience);
+        auto const held = this->registry.holds_orders(this->right->fence,
+                                                      base::monotonic_clock::now() + call_patience);
         auto const* const answer = std::get_if<bool>(&held);
         if (answer != nullptr && !*answer) {
             this->parts.log.write(telemetry::log_level::warning, "right to give orders lost",
@@ -198,9 +198,9 @@
     }
 
     auto order_changes_of(routing::service const& service) -> void {
-        auto& split = this->splits
-                          .try_emplace(service.id, this->parts.settings.generation.prefill_share)
-                          .first->second;
+        auto& split =
+            this->splits.try_emplace(service.id, this->parts.settings.generation.prefill_share)
+                .first->second;
         while (this->may_order()) {
             auto engines = std::vector<routing::upstream_record>{};
             for (auto const& [id, record] : this->parts.known.upstreams.all()) {
@@ -237,10 +237,9 @@
             return;
         }
         auto const authority = order_authority{this->parts.settings.host, this->right->fence};
-        auto const answered =
-            runtime::fetch(address, Wire::order_stage(change.engine, change.to, authority, *report),
-                           runtime::connection_use::pooled,
-                           base::monotonic_clock::now() + call_patience);
+        auto const answered = runtime::fetch(
+            address, Wire::order_stage(change.engine, change.to, authority, *report),
+            runtime::connection_use::pooled, base::monotonic_clock::now() + call_patience);
         auto const* const response = std::get_if<runtime::http_response>(&answered);
         auto const accepted =
             response != nullptr && (response->status == 202 || response->status == 200);
--- a/linnetlane/router/messages.h
+++ b/linnetlane/router/messages.h
@@ -141,7 +141,7 @@
     { Wire::decode(caller, terms, decode) } -> std::same_as<runtime::http_request>;
     {
         Wire::reserve(base::upstream_id{}, base::token_count{}, base::duration{})
-    } -> std::same_as<runtime::http_request>;
+        } -> std::same_as<runtime::http_request>;
     { Wire::read_reservation(body) } -> std::same_as<std::optional<reservation_id>>;
     { Wire::release(reservation_id{}) } -> std::same_as<runtime::http_request>;
     { Wire::discard(prefill_result_id{}) } -> std::same_as<runtime::http_request>;
@@ -149,7 +149,7 @@
     { Wire::read_report(body) } -> std::same_as<std::optional<engine_report>>;
     {
         Wire::order_stage(base::upstream_id{}, routing::engine_stage::decode, authority, report)
-    } -> std::same_as<runtime::http_request>;
+        } -> std::same_as<runtime::http_request>;
 };
 
 // ---- Registry ----
@@ -208,32 +208,38 @@
                                    base::host_id const& host, registry_lease lease) {
     {
         registry.read_configuration(deadline)
-    } -> std::same_as<base::result<configuration_reading, registry_failure>>;
+        } -> std::same_as<base::result<configuration_reading, registry_failure>>;
     // Waits for a newer configuration. Gives a reading without one when none came.
     {
         registry.await_configuration(position, wait, deadline)
-    } -> std::same_as<base::result<configuration_reading, registry_failure>>;
+        } -> std::same_as<base::result<configuration_reading, registry_failure>>;
     {
         registry.list_upstreams(deadline)
-    } -> std::same_as<base::result<upstream_listing, registry_failure>>;
+        } -> std::same_as<base::result<upstream_listing, registry_failure>>;
     {
         registry.await_upstreams(position, wait, deadline)
-    } -> std::same_as<base::result<upstream_changes, registry_failure>>;
+        } -> std::same_as<base::result<upstream_changes, registry_failure>>;
     // Ends the calls that wait for changes; they give `unavailable`.
-    { registry.interrupt_waits() };
+    {registry.interrupt_waits()};
     // Enters this host in the list of hosts.
-    { registry.join(host, wait, deadline) } -> std::same_as<base::result<granted_lease, registry_failure>>;
-    { registry.keep(lease, deadline) } -> std::same_as<base::result<base::duration, registry_failure>>;
+    {
+        registry.join(host, wait, deadline)
+        } -> std::same_as<base::result<granted_lease, registry_failure>>;
+    {
+        registry.keep(lease, deadline)
+        } -> std::same_as<base::result<base::duration, registry_failure>>;
     { registry.list_hosts(deadline) } -> std::same_as<base::result<host_listing, registry_failure>>;
     // Takes the right to give orders if nobody has it. Nothing if somebody has.
     {
         registry.claim_orders(host, lease, deadline)
-    } -> std::same_as<base::result<std::optional<base::fencing_number>, registry_failure>>;
+        } -> std::same_as<base::result<std::optional<base::fencing_number>, registry_failure>>;
     // Whether the claim with that number is still the one in force.
     {
         registry.holds_orders(base::fencing_number{}, deadline)
-    } -> std::same_as<base::result<bool, registry_failure>>;
-    { registry.leave(lease, deadline) } -> std::same_as<base::result<base::nothing, registry_failure>>;
+        } -> std::same_as<base::result<bool, registry_failure>>;
+    {
+        registry.leave(lease, deadline)
+        } -> std::same_as<base::result<base::nothing, registry_failure>>;
 };
 
 }  // namespace linnetlane::router
--- a/linnetlane/router/plain_forward.h
+++ b/linnetlane/router/plain_forward.h
@@ -90,8 +90,9 @@
     auto after_failure(routing::upstream_record const& target, exchange_failure_kind failure,
                        base::time_point sent_at) -> std::optional<request_end> {
         auto const left = failure == exchange_failure_kind::caller_left;
-        this->note(target, left ? routing::exchange_outcome::answered
-                                : routing::exchange_outcome::transport_failure,
+        this->note(target,
+                   left ? routing::exchange_outcome::answered
+                        : routing::exchange_outcome::transport_failure,
                    sent_at, std::nullopt);
         this->log_try(target, "no answer");
         if (left) {
@@ -150,12 +151,13 @@
                        : this->repeat_or(refusal_reason::outcome_unknown);
         }
         auto const failed_there = opened.head.status >= 500;
-        this->note(target, failed_there ? routing::exchange_outcome::failed_answer
-                                         : routing::exchange_outcome::answered,
+        this->note(target,
+                   failed_there ? routing::exchange_outcome::failed_answer
+                                : routing::exchange_outcome::answered,
                    sent_at, opened.head.load);
-        auto response = runtime::http_response{opened.head.status,
-                                               Wire::answer_fields(opened.stream.fields()),
-                                               base::take_value(std::move(body))};
+        auto response =
+            runtime::http_response{opened.head.status, Wire::answer_fields(opened.stream.fields()),
+                                   base::take_value(std::move(body))};
         if (!failed_there) {
             return this->answer(response);
         }
@@ -168,8 +170,9 @@
                      base::time_point sent_at) -> std::optional<request_end> {
         auto const ending = this->relay.run(opened);
         auto const whole = ending == relay_ending::complete || ending == relay_ending::caller_left;
-        this->note(target, whole ? routing::exchange_outcome::answered
-                                 : routing::exchange_outcome::transport_failure,
+        this->note(target,
+                   whole ? routing::exchange_outcome::answered
+                         : routing::exchange_outcome::transport_failure,
                    sent_at, opened.head.load);
         if (ending == relay_ending::complete) {
             return request_end{request_outcome::answered, this->relay.status()};
@@ -199,8 +202,8 @@
         if (must_not_promise) {
             refused.reason = refusal_reason::outcome_unknown;
         } else if (reason != refusal_reason::timed_out) {
-            refused.come_back_after = this->context.state().refusals.come_back_after(
-                this->context.parts.known.draw());
+            refused.come_back_after =
+                this->context.state().refusals.come_back_after(this->context.parts.known.draw());
         }
         return refuse<Wire>(this->context, refused);
     }
@@ -220,7 +223,10 @@
     auto log_try(routing::upstream_record const& target, telemetry::literal what) const -> void {
         this->context.parts.log.write(
             telemetry::log_level::info, "try ended without an answer",
-            {this->context.caller.id, this->context.service, target.id, {"what", what},
+            {this->context.caller.id,
+             this->context.service,
+             target.id,
+             {"what", what},
              {"tries", static_cast<std::int64_t>(this->sends)},
              {"age", base::monotonic_clock::now() - this->context.arrived}});
     }
--- a/linnetlane/router/registry_follower.h
+++ b/linnetlane/router/registry_follower.h
@@ -19,8 +19,8 @@
 
 // Timing of the calls on the registry.
 struct follow_timing {
-    // How long a call waits for changes. A registry that fell silent meanwhile is noticed sooner, by
-    // probes of the connection and by the calls of `host_membership`, which interrupt the wait.
+    // How long a call waits for changes. A registry that fell silent meanwhile is noticed sooner,
+    // by probes of the connection and by the calls of `host_membership`, which interrupt the wait.
     static constexpr auto wait = std::chrono::seconds{15};
     // Beyond the wait, before a call counts as lost.
     static constexpr auto patience = std::chrono::milliseconds{700};
@@ -69,10 +69,9 @@
         if (!this->lost_since) {
             return;
         }
-        this->parts.log.write(
-            telemetry::log_level::info, "registry regained",
-            {{"subject", this->subject},
-             {"lost_for", base::monotonic_clock::now() - *this->lost_since}});
+        this->parts.log.write(telemetry::log_level::info, "registry regained",
+                              {{"subject", this->subject},
+                               {"lost_for", base::monotonic_clock::now() - *this->lost_since}});
         this->lost_since.reset();
     }
 
@@ -195,8 +194,8 @@
         for (auto const& record : listed.records) {
             this->note_change(record);
         }
-        auto const dropped = this->parts.known.upstreams.replace_all(
-            listed.records, base::monotonic_clock::now());
+        auto const dropped =
+            this->parts.known.upstreams.replace_all(listed.records, base::monotonic_clock::now());
         this->log_gone(dropped);
         this->publish();
         return listed.position;
@@ -205,9 +204,9 @@
     // Waits for changes; the position after them, or nothing after a failure.
     auto follow(registry_position position) -> std::optional<registry_position> {
         auto const asked_at = base::monotonic_clock::now();
-        auto const changes =
-            this->registry.await_upstreams(position, follow_timing::wait,
-                                           asked_at + follow_timing::wait + follow_timing::patience);
+        auto const changes = this->registry.await_upstreams(
+            position, follow_timing::wait,
+            asked_at + follow_timing::wait + follow_timing::patience);
         if (auto const* const failure = base::failure_of(changes)) {
             if (*failure != registry_failure::history_lost) {
                 this->parts.known.upstreams.note_outage();
@@ -257,7 +256,10 @@
                           known->stage != record.stage;
         if (news) {
             this->parts.log.write(telemetry::log_level::info, "upstream changed",
-                                  {record.id, record.service, record.address, record.data_centre,
+                                  {record.id,
+                                   record.service,
+                                   record.address,
+                                   record.data_centre,
                                    {"new", known == nullptr},
                                    {"restarted", restarted},
                                    {"leaving", record.leaving},
--- a/linnetlane/router/settings.cpp
+++ b/linnetlane/router/settings.cpp
@@ -75,9 +75,8 @@
     reader.read_table("generation", [&](toml_reader& generation) {
         read_generation(generation, target.generation);
     });
-    reader.read_table("log", [&](toml_reader& log) {
-        log.read_word("level", target.log.level, log_levels);
-    });
+    reader.read_table(
+        "log", [&](toml_reader& log) { log.read_word("level", target.log.level, log_levels); });
 }
 
 }  // namespace
--- /dev/null
+++ b/linnetlane/router/settings_test.cpp
@@ -0,0 +1,49 @@
+#include "linnetlane/router/settings.h"
+
+#include <string>
+
+#include <boost/test/unit_test.hpp>
+
+namespace linnetlane::router {
+namespace {
+
+auto const whole = std::string{R"(
+host = "h1"
+data_centre = "a"
+[listen]
+callers = "127.0.0.1:1"
+operators = "127.0.0.1:2"
+[coordination]
+address = "127.0.0.1:3"
+order_lease = "3000ms"
+first_start = true
+[retries]
+ratio = 0.2
+window = "10s"
+slack = 54
+[leaving]
+grace = "8s"
+)"};
+
+BOOST_AUTO_TEST_CASE(settings_are_read_with_their_units) {
+    auto const parsed = parse_router_settings(whole);
+    auto const* const read = std::get_if<router_settings>(&parsed);
+    BOOST_REQUIRE(read != nullptr);
+    BOOST_TEST(read->host.value == "h1");
+    BOOST_TEST(base::to_seconds(read->order_lease) == 3.0);
+    BOOST_TEST(read->first_start);
+    BOOST_TEST(read->retries.slack == 54.0);
+    BOOST_TEST(base::to_seconds(read->leaving.grace) == 8.0);
+}
+
+BOOST_AUTO_TEST_CASE(all_problems_are_reported_at_once) {
+    auto const parsed = parse_router_settings(
+        "host = \"h1\"\nunknown = 1\n[generation]\noutput_margin = -1.0\nengines_asked = 0\n");
+    auto const* const problems = base::failure_of(parsed);
+    BOOST_REQUIRE(problems != nullptr);
+    // The data centre, two tables, the unknown key and the two values.
+    BOOST_TEST(problems->size() == 6U);
+}
+
+}  // namespace
+}  // namespace linnetlane::router
--- a/linnetlane/routing/data_centre_reach.h
+++ b/linnetlane/routing/data_centre_reach.h
@@ -1,7 +1,7 @@
 // Which data centres a host can't reach at the moment, from calls that got no answer in time.
 //
-// When a data centre is cut off, its upstreams stop answering all at once. Finding that out for each
-// of them costs a caller one wait after the other; here one wait is enough for all of them.
+// When a data centre is cut off, its upstreams stop answering all at once. Finding that out for
+// each of them costs a caller one wait after the other; here one wait is enough for all of them.
 
 #ifndef LINNETLANE_ROUTING_DATA_CENTRE_REACH_H_
 #define LINNETLANE_ROUTING_DATA_CENTRE_REACH_H_
--- a/linnetlane/routing/plain_pool.cpp
+++ b/linnetlane/routing/plain_pool.cpp
@@ -41,11 +41,11 @@
         if (one.leaving || tried.contains(id)) {
             continue;
         }
-        auto const usable =
-            one.health.usable(now) && !this->reach->doubted(one.data_centre, now);
+        auto const usable = one.health.usable(now) && !this->reach->doubted(one.data_centre, now);
         // A different part of the draw for each upstream.
         auto const turned = draw * static_cast<double>(index) * 7.0;
-        auto const jitter = 1 + draw_spread * (turned - static_cast<double>(static_cast<int>(turned)));
+        auto const jitter =
+            1 + draw_spread * (turned - static_cast<double>(static_cast<int>(turned)));
         auto const cost = this->expected_seconds(one, now) * jitter;
         if ((usable && !best_usable) || (usable == best_usable && cost < best_cost)) {
             best = id;
--- a/linnetlane/routing/retry_allowance.cpp
+++ b/linnetlane/routing/retry_allowance.cpp
@@ -11,10 +11,11 @@
 
 auto retry_allowance::try_take(std::size_t hosts, base::time_point now) -> bool {
     this->forget_before(now - this->bounds.window);
-    auto const own_slack = this->bounds.slack / static_cast<double>(std::max<std::size_t>(hosts, 1));
-    auto const allowed = used_share_of_budget *
-                         (this->bounds.ratio.value * static_cast<double>(this->requests.size()) +
-                          own_slack);
+    auto const own_slack =
+        this->bounds.slack / static_cast<double>(std::max<std::size_t>(hosts, 1));
+    auto const allowed =
+        used_share_of_budget *
+        (this->bounds.ratio.value * static_cast<double>(this->requests.size()) + own_slack);
     if (static_cast<double>(this->repeats.size()) + 1 > allowed) {
         return false;
     }
--- a/linnetlane/routing/stage_split.h
+++ b/linnetlane/routing/stage_split.h
@@ -40,7 +40,8 @@
     // The change to order next, if any. `engines` are all that are registered for the service.
     [[nodiscard]] auto next_change(std::vector<upstream_record> engines, base::time_point now)
         -> std::optional<stage_change>;
-    // `change` was ordered; until `settled_by` the engine counts as changed, whatever its record says.
+    // `change` was ordered; until `settled_by` the engine counts as changed, whatever its record
+    // says.
     auto note_ordered(stage_change const& change, base::time_point settled_by) -> void;
     // Prefill engines wanted among `engines`: the share, rounded to the nearest, at least one and
     // leaving one to decode.
--- a/linnetlane/routing/upstream_set.cpp
+++ b/linnetlane/routing/upstream_set.cpp
@@ -49,8 +49,7 @@
     if (known == record) {
         return record_change::none;
     }
-    auto const restarted =
-        known.started != record.started || !(known.address == record.address);
+    auto const restarted = known.started != record.started || !(known.address == record.address);
     known = record;
     return restarted ? record_change::restarted : record_change::updated;
 }
--- /dev/null
+++ b/linnetlane/routing/upstream_set_test.cpp
@@ -0,0 +1,63 @@
+#include "linnetlane/routing/upstream_set.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace linnetlane::routing {
+namespace {
+
+auto const start = base::time_point{} + std::chrono::hours{1};
+
+auto make_record(std::string id) -> upstream_record {
+    auto made = upstream_record{};
+    made.id.value = std::move(id);
+    made.address = base::endpoint{"10.0.0.1", 80};
+    return made;
+}
+
+BOOST_AUTO_TEST_CASE(a_record_that_is_removed_is_gone_at_once_while_the_registry_is_there) {
+    auto set = upstream_set{};
+    set.replace_all({make_record("a"), make_record("b")}, start);
+
+    BOOST_TEST(set.remove(base::upstream_id{"a"}, start));
+    BOOST_TEST(set.find(base::upstream_id{"a"}) == nullptr);
+    BOOST_TEST(set.replace_all({}, start).size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(records_missing_after_an_outage_are_kept_until_upstreams_had_time_to_return) {
+    auto set = upstream_set{};
+    set.replace_all({make_record("back"), make_record("lost")}, start);
+    set.note_outage();
+
+    BOOST_TEST(set.replace_all({}, start).empty());
+    set.put(make_record("back"));
+    BOOST_TEST(set.expire(start + std::chrono::seconds{2}).empty());
+    auto const gone = set.expire(start + reregistration_grace);
+
+    BOOST_TEST(gone.size() == 1U);
+    BOOST_TEST(set.find(base::upstream_id{"back"}) != nullptr);
+    BOOST_TEST(set.find(base::upstream_id{"lost"}) == nullptr);
+}
+
+BOOST_AUTO_TEST_CASE(an_upstream_that_was_leaving_gets_no_grace) {
+    auto set = upstream_set{};
+    auto leaving = make_record("a");
+    leaving.leaving = true;
+    set.replace_all({leaving}, start);
+    set.begin_grace(start);
+
+    BOOST_TEST(set.remove(base::upstream_id{"a"}, start));
+}
+
+BOOST_AUTO_TEST_CASE(a_new_start_under_the_same_id_is_told_from_a_change) {
+    auto set = upstream_set{};
+    auto record = make_record("a");
+    BOOST_TEST((set.put(record) == record_change::added));
+    BOOST_TEST((set.put(record) == record_change::none));
+    record.leaving = true;
+    BOOST_TEST((set.put(record) == record_change::updated));
+    record.started.value = 7;
+    BOOST_TEST((set.put(record) == record_change::restarted));
+}
+
+}  // namespace
+}  // namespace linnetlane::routing
--- a/linnetlane/runtime/http_client.cpp
+++ b/linnetlane/runtime/http_client.cpp
@@ -116,8 +116,7 @@
 auto connect(base::endpoint const& to, connection_use use, base::time_point deadline)
     -> base::result<connection_pointer, http_failure> {
     auto opened = std::make_shared<connection>(this_context());
-    opened->stream.expires_at(
-        std::min(deadline, base::monotonic_clock::now() + connect_patience));
+    opened->stream.expires_at(std::min(deadline, base::monotonic_clock::now() + connect_patience));
     auto const error = opened->stream.connect(to);
     if (error == beast::error::timeout) {
         return http_failure{http_failure_kind::timed_out, request_reach::not_sent};
@@ -233,11 +232,10 @@
             return;
         }
         this->finished = true;
-        auto const reusable = this->parser().get().keep_alive() &&
-                              this->used->buffer.size() == 0 && this->sending->written;
+        auto const reusable = this->parser().get().keep_alive() && this->used->buffer.size() == 0 &&
+                              this->sending->written;
         if (reusable) {
-            this->used->reusable_until =
-                base::monotonic_clock::now() + stated_keep(this->fields);
+            this->used->reusable_until = base::monotonic_clock::now() + stated_keep(this->fields);
             keep_idle(this->to, std::move(this->used));
         } else {
             this->used->stream.close();
--- a/linnetlane/telemetry/bounded_sink.cpp
+++ b/linnetlane/telemetry/bounded_sink.cpp
@@ -65,8 +65,8 @@
     if (this->dropped_unreported == 0) {
         return;
     }
-    auto const line = fmt::format("{{\"event\":\"log lines dropped\",\"lines\":{}}}\n",
-                                  this->dropped_unreported);
+    auto const line =
+        fmt::format("{{\"event\":\"log lines dropped\",\"lines\":{}}}\n", this->dropped_unreported);
     if (::write(this->descriptor, line.data(), line.size()) > 0) {
         this->dropped_unreported = 0;
     }
