--- a/linnetlane/ctl/all_commands.cpp
+++ b/linnetlane/ctl/all_commands.cpp
@@ -2,6 +2,7 @@
 
 #include "linnetlane/ctl/capacity_command.h"
 #include "linnetlane/ctl/completion.h"
+#include "linnetlane/ctl/explain_command.h"
 #include "linnetlane/ctl/fleet_commands.h"
 #include "linnetlane/ctl/service_commands.h"
 
@@ -29,8 +30,8 @@
 
 auto all_commands() -> std::vector<command> {
     auto commands = std::vector<command>{};
-    for (auto const& group :
-         {service_commands(), fleet_commands(), capacity_commands(), completion_commands()}) {
+    for (auto const& group : {service_commands(), fleet_commands(), capacity_commands(),
+                              explain_commands(), completion_commands()}) {
         commands.insert(commands.end(), group.begin(), group.end());
     }
     return commands;
--- a/linnetlane/router/generation_forward.h
+++ b/linnetlane/router/generation_forward.h
@@ -228,7 +228,7 @@
         auto const terms = send_terms{engine.id, this->context.answer_by - now};
         auto result = exchange<Wire>(this->context, engine.address,
                                      Wire::prefill(this->context.caller, terms), deadline);
-        auto const made = this->read_prefill(engine, result, deadline);
+        auto made = this->read_prefill(engine, result, deadline);
         pool.end(engine.id, this->prompt());
         if (made) {
             this->context.parts.metrics.count_prefill(this->prompt());
