--- a/linnetlane/telemetry/metrics_test.cpp
+++ b/linnetlane/telemetry/metrics_test.cpp
@@ -82,8 +82,8 @@
     table.count_peer_message(peer_traffic::cell, peer_direction::sent, base::byte_count{120});
     table.set_hosts(base::data_centre_id{"bne-north"}, host_state::alive, 3);
     auto const text = table.scrape();
-    BOOST_TEST(contains(
-        text, R"(linnetlane_coordination_calls_total{operation="swap",outcome="unknown"} 1)"));
+    BOOST_TEST(
+        contains(text, R"(linnetlane_platform_calls_total{operation="swap",outcome="unknown"} 1)"));
     BOOST_TEST(
         contains(text, R"(linnetlane_peer_bytes_total{direction="sent",traffic="cell"} 120)"));
     BOOST_TEST(contains(text, R"(linnetlane_hosts{data_centre="bne-north",state="alive"} 3)"));
