Prefill: an engine that refuses is passed over for a while

Change: a refused prefill marks the engine as full, and full ones are asked last, as for reservations. The test failed before (e0 chosen, e1 expected).

Signal handling of both modes in one place.

--- a/linnetlane/daemon/main.cpp
+++ b/linnetlane/daemon/main.cpp
@@ -16,6 +16,7 @@
 #include "linnetlane/cell/baselines.h"
 #include "linnetlane/daemon/host.h"
 #include "linnetlane/daemon/router_process.h"
+#include "linnetlane/daemon/signals.h"
 #include "linnetlane/runtime/worker_pool.h"
 #include "linnetlane/settings/parse.h"
 
@@ -101,17 +102,6 @@
     std::cout << "listening " << role << ' ' << address.address << ':' << address.port << '\n';
 }
 
-auto block_signals() -> sigset_t {
-    auto signals = sigset_t{};
-    sigemptyset(&signals);
-    sigaddset(&signals, SIGTERM);
-    sigaddset(&signals, SIGINT);
-    sigaddset(&signals, SIGHUP);
-    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-    std::signal(SIGPIPE, SIG_IGN);
-    return signals;
-}
-
 // Runs until the graceful shutdown is over; a second signal during it changes nothing.
 [[noreturn]] auto wait_for_signals(host& running, sigset_t const& signals) -> void {
     for (;;) {
--- a/linnetlane/daemon/router_process.cpp
+++ b/linnetlane/daemon/router_process.cpp
@@ -1,6 +1,5 @@
 #include "linnetlane/daemon/router_process.h"
 
-#include <pthread.h>
 #include <unistd.h>
 
 #include <csignal>
@@ -10,6 +9,7 @@
 #include <memory>
 #include <random>
 
+#include "linnetlane/daemon/signals.h"
 #include "linnetlane/router/host.h"
 #include "linnetlane/router/settings.h"
 #include "linnetlane/runtime/worker_pool.h"
@@ -36,17 +36,6 @@
     }
 }
 
-auto block_signals() -> sigset_t {
-    auto signals = sigset_t{};
-    sigemptyset(&signals);
-    sigaddset(&signals, SIGTERM);
-    sigaddset(&signals, SIGINT);
-    sigaddset(&signals, SIGHUP);
-    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-    std::signal(SIGPIPE, SIG_IGN);
-    return signals;
-}
-
 // What a reload can change in a running host is nothing yet: addresses and names are for life. The
 // new file is checked, so that a mistake is seen before the next start.
 auto reload(std::string const& file, telemetry::event_log const& log) -> void {
--- a/linnetlane/router/generation_forward.h
+++ b/linnetlane/router/generation_forward.h
@@ -256,7 +256,9 @@
         auto const body = opened->stream.read_all(plain_answer_bytes, deadline);
         auto const whole = base::failure_of(body) == nullptr && opened->head.status == 200;
         auto const made = whole ? Wire::read_prefill_result(base::value_of(body)) : std::nullopt;
-        if (!opened->head.not_run) {
+        if (opened->head.not_run) {
+            pool.note_full(engine.id, now);
+        } else {
             pool.note_outcome(engine.id,
                               made ? routing::exchange_outcome::answered
                                    : routing::exchange_outcome::failed_answer,
--- a/linnetlane/routing/generation_pool.cpp
+++ b/linnetlane/routing/generation_pool.cpp
@@ -78,7 +78,7 @@
 auto generation_pool::prefill_candidate(std::set<base::upstream_id> const& tried, double draw,
                                         base::time_point now) const
     -> std::optional<base::upstream_id> {
-    using ranked = std::tuple<bool, double, base::upstream_id>;
+    using ranked = std::tuple<bool, bool, double, base::upstream_id>;
     auto best = std::optional<ranked>{};
     auto index = std::size_t{0};
     for (auto const& [id, one] : this->members) {
@@ -88,12 +88,12 @@
         }
         auto const cost =
             this->load_of(one, now) + draw_spread * this->usual_tokens * turned(draw, index);
-        auto const candidate = ranked{this->doubtful(one, now), cost, id};
+        auto const candidate = ranked{this->doubtful(one, now), now < one.full_until, cost, id};
         if (!best || candidate < *best) {
             best = candidate;
         }
     }
-    return best ? std::optional{std::get<2>(*best)} : std::nullopt;
+    return best ? std::optional{std::get<3>(*best)} : std::nullopt;
 }
 
 auto generation_pool::note_full(base::upstream_id const& id, base::time_point now) -> void {
--- a/linnetlane/routing/generation_pool.h
+++ b/linnetlane/routing/generation_pool.h
@@ -67,7 +67,7 @@
                                          base::time_point now) const
         -> std::optional<base::upstream_id>;
 
-    // An engine had no room for a reservation.
+    // An engine had no room for a reservation, or refused a prefill.
     auto note_full(base::upstream_id const& id, base::time_point now) -> void;
     // Work of `tokens` begins and ends at an engine.
     auto begin(base::upstream_id const& id, base::token_count tokens) -> void;
--- a/linnetlane/routing/pools_test.cpp
+++ b/linnetlane/routing/pools_test.cpp
@@ -116,6 +116,17 @@
     BOOST_TEST(pool.decode_candidates(3, 0.3, later).front().value == "e1");
 }
 
+BOOST_AUTO_TEST_CASE(a_prefill_engine_that_refuses_while_it_changes_stage_is_passed_over) {
+    auto ways = data_centre_reach{};
+    auto pool = generation_pool{ways};
+    pool.set_members(make_engines(2, 1));
+    // The other one is busy, so that the refusing one looks best.
+    pool.begin(base::upstream_id{"e1"}, base::token_count{50'000});
+    BOOST_TEST(pool.prefill_candidate({}, 0.5, start)->value == "e0");
+    pool.note_full(base::upstream_id{"e0"}, start);
+    BOOST_TEST(pool.prefill_candidate({}, 0.5, start)->value == "e1");
+}
+
 BOOST_AUTO_TEST_CASE(one_zone_alone_asks_its_own_engines_first_after_one_silence) {
     auto ways = data_centre_reach{};
     auto pool = generation_pool{ways};
