Pool sizes: a surplus of prefill engines has to last before it is changed

Change: a surplus has to last six seconds, as a lack had to; before callers come it is changed at once.

--- a/linnetlane/router/host_membership.h
+++ b/linnetlane/router/host_membership.h
@@ -41,6 +41,8 @@
     static constexpr auto lease_margin = std::chrono::milliseconds{1500};
     // All hosts of a fleet that starts for the first time are up by then.
     static constexpr auto fleet_start = std::chrono::seconds{4};
+    // Engines have registered and callers have not come yet.
+    static constexpr auto pools_settle = std::chrono::seconds{8};
     // On top of an engine's own time, until its record shows the change.
     static constexpr auto record_lag = std::chrono::seconds{3};
     // An engine that is changed lets its work run to completion first.
@@ -167,6 +169,12 @@
                base::monotonic_clock::now() < this->started_at + fleet_start;
     }
 
+    // Before callers come, pools are brought to their sizes without patience.
+    [[nodiscard]] auto pools_settle_until() const -> base::time_point {
+        return this->parts.settings.first_start ? this->started_at + pools_settle
+                                                : base::time_point::min();
+    }
+
     // Whether the registry agrees right now that this host gives the orders.
     auto confirm_right() -> bool {
         auto const held = this->registry.holds_orders(this->right->fence,
@@ -198,9 +206,10 @@
     }
 
     auto order_changes_of(routing::service const& service) -> void {
-        auto& split =
-            this->splits.try_emplace(service.id, this->parts.settings.generation.prefill_share)
-                .first->second;
+        auto& split = this->splits
+                          .try_emplace(service.id, this->parts.settings.generation.prefill_share,
+                                       this->pools_settle_until())
+                          .first->second;
         while (this->may_order()) {
             auto engines = std::vector<routing::upstream_record>{};
             for (auto const& [id, record] : this->parts.known.upstreams.all()) {
--- a/linnetlane/routing/pools_test.cpp
+++ b/linnetlane/routing/pools_test.cpp
@@ -180,22 +180,34 @@
 }
 
 BOOST_AUTO_TEST_CASE(surplus_prefill_engines_decode_from_the_first_seconds_on) {
-    auto split = stage_split{base::fraction{0.22}};
+    auto split = stage_split{base::fraction{0.22}, start + std::chrono::seconds{1}};
     auto engines = make_engines(5, 9);
     BOOST_TEST(settle(split, engines, start) == 2U);
     BOOST_TEST(count_stage(engines, engine_stage::prefill) == 3U);
 }
 
 BOOST_AUTO_TEST_CASE(a_crash_of_prefill_engines_that_are_soon_back_changes_nothing) {
-    auto split = stage_split{base::fraction{0.22}};
+    auto split = stage_split{base::fraction{0.22}, start};
     auto engines = make_engines(2, 11);
     BOOST_TEST(settle(split, engines, start) == 0U);
     BOOST_TEST(settle(split, engines, start + std::chrono::seconds{5}) == 0U);
     BOOST_TEST(settle(split, engines, start + std::chrono::seconds{7}) == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(a_crash_of_decode_engines_that_are_soon_back_takes_no_prefill_engine_away) {
+    auto split = stage_split{base::fraction{0.22}, start};
+    auto engines = make_engines(3, 11);
+    auto crashed = make_engines(3, 7);
+    BOOST_TEST(settle(split, crashed, start) == 0U);
+    BOOST_TEST(settle(split, crashed, start + std::chrono::seconds{5}) == 0U);
+    BOOST_TEST(settle(split, engines, start + std::chrono::seconds{6}) == 0U);
+    // One that lasts is mended.
+    BOOST_TEST(settle(split, crashed, start + std::chrono::seconds{10}) == 0U);
+    BOOST_TEST(settle(split, crashed, start + std::chrono::seconds{16}) == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(the_last_prefill_engine_is_replaced_at_once) {
-    auto split = stage_split{base::fraction{0.22}};
+    auto split = stage_split{base::fraction{0.22}, start};
     auto engines = make_engines(0, 12);
     BOOST_TEST(settle(split, engines, start) >= 1U);
 }
@@ -206,7 +218,7 @@
         auto const decode = *rc::gen::inRange<std::size_t>(0, 20);
         RC_PRE(prefill + decode >= 2);
         auto engines = make_engines(prefill, decode);
-        auto split = stage_split{base::fraction{*rc::gen::inRange(0, 101) / 100.0}};
+        auto split = stage_split{base::fraction{*rc::gen::inRange(0, 101) / 100.0}, start};
         settle(split, engines, start);
         settle(split, engines, start + std::chrono::seconds{20});
         RC_ASSERT(count_stage(engines, engine_stage::prefill) >= 1);
--- a/linnetlane/routing/stage_split.cpp
+++ b/linnetlane/routing/stage_split.cpp
@@ -56,23 +56,33 @@
     if (prefill >= wanted) {
         this->lacking_since.reset();
     }
+    if (prefill <= wanted) {
+        this->surplus_since.reset();
+    }
     if (prefill > wanted) {
+        if (now >= this->eager_until && !lasted(this->surplus_since, now)) {
+            return std::nullopt;
+        }
         auto const* const engine = most_crowded(engines, engine_stage::prefill);
         return stage_change{engine->id, engine_stage::decode};
     }
     if (prefill == wanted || decode < 2) {
         return std::nullopt;
     }
-    if (!this->lacking_since) {
-        this->lacking_since = now;
-    }
-    if (now - *this->lacking_since < patience && prefill > 0) {
+    if (!lasted(this->lacking_since, now) && prefill > 0) {
         return std::nullopt;
     }
     auto const* const engine = most_crowded(engines, engine_stage::decode);
     return stage_change{engine->id, engine_stage::prefill};
 }
 
+auto stage_split::lasted(std::optional<base::time_point>& since, base::time_point now) -> bool {
+    if (!since) {
+        since = now;
+    }
+    return now - *since >= patience;
+}
+
 auto stage_split::note_ordered(stage_change const& change, base::time_point settled_by) -> void {
     this->ordered.push_back(pending{change, settled_by});
 }
--- a/linnetlane/routing/stage_split.h
+++ b/linnetlane/routing/stage_split.h
@@ -31,11 +31,13 @@
 // give orders asks it.
 class stage_split {
 public:
-    // How long a lack of prefill engines has to last: crashed ones are usually back before a change
-    // would be complete.
+    // How long a lack or a surplus of prefill engines has to last: crashed engines are usually back
+    // before a change would be complete.
     static constexpr auto patience = std::chrono::seconds{6};
 
-    explicit stage_split(base::fraction prefill_share) : share(prefill_share) {}
+    // Until `start_ends`, before callers come, surplus engines are changed at once.
+    stage_split(base::fraction prefill_share, base::time_point start_ends)
+        : share(prefill_share), eager_until(start_ends) {}
 
     // The change to order next, if any. `engines` are all that are registered for the service.
     [[nodiscard]] auto next_change(std::vector<upstream_record> engines, base::time_point now)
@@ -56,9 +58,15 @@
 
     auto apply_pending(std::vector<upstream_record>& engines, base::time_point now) -> void;
 
+    // Whether the state that began at `since`, or begins now, has lasted for `patience`.
+    [[nodiscard]] static auto lasted(std::optional<base::time_point>& since, base::time_point now)
+        -> bool;
+
     base::fraction share;
+    base::time_point eager_until;
     std::vector<pending> ordered;
     std::optional<base::time_point> lacking_since;
+    std::optional<base::time_point> surplus_since;
 };
 
 }  // namespace linnetlane::routing
