Plain services: hosts keep the queues of overloaded upstreams short

Rejections, which come after 2 ms, were learned as the upstream's speed, so one that hangs behind a full queue drew requests; a caller that left a hung upstream counted for its health. 295 connections over the upstreams' caps were reset as soon as they stood, and 283 requests that may run once failed with 502 although nothing had been sent.

Ruled out: a lack of slots alone (running slots were full, the queue made the answers late); reservations without answer (dead engines are asked last).

Change: an admission share for each service and host follows the median queue that upstreams report; callers come back within an eighth of the target; rejections and abandoned requests say nothing of speed; a new connection has to stand for a round trip before a request that may run once is sent on it. The class for the spread of returns goes, since its branch was never taken.

--- a/linnetlane/router/generation_forward.h
+++ b/linnetlane/router/generation_forward.h
@@ -16,6 +16,7 @@
 
 #include "linnetlane/router/request_context.h"
 #include "linnetlane/router/stream_relay.h"
+#include "linnetlane/routing/refusal_policy.h"
 
 namespace linnetlane::router {
 
@@ -227,7 +228,8 @@
         auto const deadline = std::min(this->context.answer_by, now + patience);
         auto const terms = send_terms{engine.id, this->context.answer_by - now};
         auto result = exchange<Wire>(this->context, engine.address,
-                                     Wire::prefill(this->context.caller, terms), deadline);
+                                     Wire::prefill(this->context.caller, terms),
+                                     runtime::connection_use::pooled, deadline);
         auto made = this->read_prefill(engine, result, deadline);
         pool.end(engine.id, this->prompt());
         if (made) {
@@ -285,7 +287,7 @@
         auto const decoding = decode_terms{source, reserved.reservation, this->relay.last_event()};
         auto result = exchange<Wire>(this->context, reserved.engine.address,
                                      Wire::decode(this->context.caller, terms, decoding),
-                                     this->context.answer_by);
+                                     runtime::connection_use::pooled, this->context.answer_by);
         if (auto const* const failure = std::get_if<exchange_failure_kind>(&result)) {
             return this->after_decode_failure(reserved, source, *failure);
         }
@@ -389,8 +391,6 @@
     // ---- The end ----
 
     auto end(try_result result) -> request_end {
-        auto& refusals = this->context.state().refusals;
-        refusals.note(result == try_result::no_room);
         this->log_end();
         switch (result) {
             case try_result::complete:
@@ -427,8 +427,8 @@
         if (promises && this->ran) {
             refused.reason = refusal_reason::outcome_unknown;
         } else if (promises) {
-            refused.come_back_after =
-                this->context.state().refusals.come_back_after(this->context.parts.known.draw());
+            refused.come_back_after = routing::come_back_after(this->context.route.target_latency,
+                                                               this->context.parts.known.draw());
         }
         return refuse<Wire>(this->context, refused);
     }
--- a/linnetlane/router/plain_forward.h
+++ b/linnetlane/router/plain_forward.h
@@ -11,6 +11,7 @@
 
 #include "linnetlane/router/request_context.h"
 #include "linnetlane/router/stream_relay.h"
+#include "linnetlane/routing/refusal_policy.h"
 
 namespace linnetlane::router {
 
@@ -27,6 +28,9 @@
         : context{own_context}, relay{own_context} {}
 
     auto run() -> request_end {
+        if (!this->admitted()) {
+            return this->give_up(refusal_reason::overloaded);
+        }
         for (;;) {
             if (this->context.cancelled.cancelled()) {
                 return request_end{request_outcome::caller_left};
@@ -46,6 +50,21 @@
     }
 
 private:
+    // Keeps the queues of overloaded upstreams short.
+    auto admitted() const -> bool {
+        auto const now = base::monotonic_clock::now();
+        auto const& guard = this->context.state().admitted;
+        if (guard.admits(this->context.parts.known.draw(), now)) {
+            return true;
+        }
+        this->context.parts.log.write(
+            telemetry::log_level::info, "not admitted: queues are long",
+            {this->context.caller.id,
+             this->context.service,
+             {"admitted_percent", static_cast<std::int64_t>(100 * guard.share(now))}});
+        return false;
+    }
+
     // The upstream to send to next; none when the request can't be sent again.
     auto next_target(base::time_point now) -> std::optional<routing::upstream_record> {
         auto const runs_left = this->runs < this->context.route.most_attempts;
@@ -77,9 +96,9 @@
         pool.started(target.id);
         auto const sent_at = base::monotonic_clock::now();
         auto const terms = send_terms{target.id, this->context.answer_by - sent_at};
-        auto result =
-            exchange<Wire>(this->context, target.address,
-                           Wire::execute(this->context.caller, terms), this->context.answer_by);
+        auto result = exchange<Wire>(this->context, target.address,
+                                     Wire::execute(this->context.caller, terms),
+                                     connection_for(this->context.route), this->context.answer_by);
         if (auto const* const failure = std::get_if<exchange_failure_kind>(&result)) {
             return this->after_failure(target, *failure, sent_at);
         }
@@ -91,14 +110,16 @@
                        base::time_point sent_at) -> std::optional<request_end> {
         auto const left = failure == exchange_failure_kind::caller_left;
         this->note(target,
-                   left ? routing::exchange_outcome::answered
+                   left ? routing::exchange_outcome::abandoned
                         : routing::exchange_outcome::transport_failure,
                    sent_at, std::nullopt);
-        this->log_try(target, "no answer");
+        auto const unsent = failure == exchange_failure_kind::not_sent;
+        this->log_try(target,
+                      unsent ? telemetry::literal{"not sent"} : telemetry::literal{"no answer"});
         if (left) {
             return request_end{request_outcome::caller_left};
         }
-        if (failure == exchange_failure_kind::not_sent) {
+        if (unsent) {
             this->last_reason = refusal_reason::upstreams_unreachable;
             return std::nullopt;
         }
@@ -115,7 +136,7 @@
                     base::time_point sent_at) -> std::optional<request_end> {
         auto const& head = opened.head;
         if (head.not_run) {
-            this->note(target, routing::exchange_outcome::answered, sent_at, head.load);
+            this->note(target, routing::exchange_outcome::rejected, sent_at, head.load);
             this->log_try(target, head.other_instance
                                       ? telemetry::literal{"another process has the address"}
                                       : telemetry::literal{"upstream has no room"});
@@ -141,7 +162,7 @@
         auto body = opened.stream.read_all(most_answer_bytes, this->context.answer_by);
         if (auto const* const failed = base::failure_of(body)) {
             if (this->context.cancelled.cancelled()) {
-                this->note(target, routing::exchange_outcome::answered, sent_at, std::nullopt);
+                this->note(target, routing::exchange_outcome::abandoned, sent_at, std::nullopt);
                 return request_end{request_outcome::caller_left};
             }
             this->note(target, routing::exchange_outcome::transport_failure, sent_at, std::nullopt);
@@ -202,8 +223,8 @@
         if (must_not_promise) {
             refused.reason = refusal_reason::outcome_unknown;
         } else if (reason != refusal_reason::timed_out) {
-            refused.come_back_after =
-                this->context.state().refusals.come_back_after(this->context.parts.known.draw());
+            refused.come_back_after = routing::come_back_after(this->context.route.target_latency,
+                                                               this->context.parts.known.draw());
         }
         return refuse<Wire>(this->context, refused);
     }
@@ -218,6 +239,9 @@
               base::time_point sent_at, std::optional<routing::load_report> load) -> void {
         auto const now = base::monotonic_clock::now();
         this->context.state().plain.ended(target.id, {outcome, now - sent_at, load}, now);
+        if (load) {
+            this->context.state().admitted.note_load(target.id, *load, now);
+        }
     }
 
     auto log_try(routing::upstream_record const& target, telemetry::literal what) const -> void {
--- a/linnetlane/router/region.h
+++ b/linnetlane/router/region.h
@@ -13,10 +13,10 @@
 #include "linnetlane/base/ids.h"
 #include "linnetlane/base/time.h"
 #include "linnetlane/router/messages.h"
+#include "linnetlane/routing/admission.h"
 #include "linnetlane/routing/configuration.h"
 #include "linnetlane/routing/generation_pool.h"
 #include "linnetlane/routing/plain_pool.h"
-#include "linnetlane/routing/refusal_policy.h"
 #include "linnetlane/routing/retry_allowance.h"
 #include "linnetlane/routing/upstream_set.h"
 
@@ -30,7 +30,7 @@
     routing::plain_pool plain;
     routing::generation_pool generation;
     routing::retry_allowance repeats;
-    routing::refusal_policy refusals;
+    routing::admission admitted;
 };
 
 // Belongs to one worker.
--- a/linnetlane/router/request_context.h
+++ b/linnetlane/router/request_context.h
@@ -78,10 +78,17 @@
 // Answers to other requests that are skipped on a connection before it is given up.
 inline constexpr auto most_foreign_answers = 3;
 
+// A request that may run only once is best known not to have been sent when a connection fails.
+inline auto connection_for(routing::route const& route) -> runtime::connection_use {
+    return route.repeats == routing::repetition::at_most_once ? runtime::connection_use::settled
+                                                              : runtime::connection_use::pooled;
+}
+
 // Sends `message` for `context` to `to` and reads the head of the answer to it.
 template <router_wire Wire>
 auto exchange(request_context const& context, base::endpoint const& to,
-              runtime::http_request const& message, base::time_point deadline) -> exchange_result {
+              runtime::http_request const& message, runtime::connection_use use,
+              base::time_point deadline) -> exchange_result {
     auto const failure = [&](runtime::http_failure const& failed) {
         if (context.cancelled.cancelled()) {
             return exchange_failure_kind::caller_left;
@@ -93,9 +100,9 @@
                    ? exchange_failure_kind::timed_out
                    : exchange_failure_kind::unknown;
     };
-    auto opened = runtime::open_stream(
-        to, message, runtime::connection_use::pooled, deadline,
-        [&](std::function<void()> stop) { context.cancelled.attach(std::move(stop)); });
+    auto opened = runtime::open_stream(to, message, use, deadline, [&](std::function<void()> stop) {
+        context.cancelled.attach(std::move(stop));
+    });
     if (auto const* failed = base::failure_of(opened)) {
         return failure(*failed);
     }
--- a/linnetlane/routing/plain_pool.cpp
+++ b/linnetlane/routing/plain_pool.cpp
@@ -73,12 +73,10 @@
     one.health.note(ending.outcome, this->failed_share_of_others(id), now);
     if (ending.outcome == exchange_outcome::transport_failure) {
         this->reach->note_silence(one.data_centre, now);
-    } else {
+    } else if (ending.outcome != exchange_outcome::abandoned) {
         this->reach->note_answer(one.data_centre, now);
-        auto const seconds = base::to_seconds(ending.took);
-        learn(one.learned_seconds, seconds, newest_weight);
-        learn(this->usual_seconds, seconds, newest_weight / 4);
     }
+    this->learn_time(one, ending);
     if (ending.load) {
         auto const all = ending.load->running + ending.load->waiting;
         one.others = all > one.under_way ? all - one.under_way : 0;
@@ -86,6 +84,19 @@
     }
 }
 
+// Rejections and failures come faster than answers and say nothing of how long those take.
+auto plain_pool::learn_time(member& one, plain_ending const& ending) -> void {
+    auto const seconds = base::to_seconds(ending.took);
+    auto const slower = ending.outcome == exchange_outcome::abandoned &&
+                        seconds > one.learned_seconds && seconds > this->usual_seconds;
+    if (ending.outcome == exchange_outcome::answered || slower) {
+        learn(one.learned_seconds, seconds, newest_weight);
+    }
+    if (ending.outcome == exchange_outcome::answered) {
+        learn(this->usual_seconds, seconds, newest_weight / 4);
+    }
+}
+
 auto plain_pool::expected_seconds(member const& one, base::time_point now) const -> double {
     auto const others = now < one.others_valid_until ? one.others : 0;
     auto const load = static_cast<double>(one.under_way + others + 1);
--- a/linnetlane/routing/plain_pool.h
+++ b/linnetlane/routing/plain_pool.h
@@ -67,6 +67,7 @@
         upstream_health health;
     };
 
+    auto learn_time(member& one, plain_ending const& ending) -> void;
     [[nodiscard]] auto expected_seconds(member const& one, base::time_point now) const -> double;
     [[nodiscard]] auto failed_share_of_others(base::upstream_id const& id) const -> double;
 
--- a/linnetlane/routing/refusal_policy.h
+++ b/linnetlane/routing/refusal_policy.h
@@ -1,46 +1,32 @@
 // When a caller that finds no room should come back.
 //
-// A place comes free every few tens of milliseconds, so in a short squeeze an early return still
-// gets an answer on time. When most requests are refused, early returns only take places from each
-// other, and the callers are spread over the seconds after the burst instead.
+// A place comes free every few tens of milliseconds, so an early return can still be answered on
+// time; callers that are spread over the seconds after a burst come late in any case.
 
 #ifndef LINNETLANE_ROUTING_REFUSAL_POLICY_H_
 #define LINNETLANE_ROUTING_REFUSAL_POLICY_H_
 
+#include <algorithm>
 #include <chrono>
 
 #include "linnetlane/base/time.h"
 
 namespace linnetlane::routing {
 
-// Belongs to one worker. One for each service.
-class refusal_policy {
-public:
-    // The mean return in a squeeze; about a third of it is spread to either side.
-    static constexpr auto early_return = std::chrono::milliseconds{150};
-    // The latest return in an overload: bursts last four to five seconds.
-    static constexpr auto late_return = std::chrono::seconds{4};
-    // The share of requests refused lately from which on it is an overload.
-    static constexpr auto overload_share = 0.95;
-    // Weight of the newest request in that share.
-    static constexpr auto newest_weight = 0.08;
-
-    auto note(bool refused) -> void {
-        this->refused_share += newest_weight * ((refused ? 1.0 : 0.0) - this->refused_share);
-    }
-    [[nodiscard]] auto overloaded() const -> bool { return this->refused_share > overload_share; }
-    // `draw` is uniform in [0, 1).
-    [[nodiscard]] auto come_back_after(double draw) const -> base::duration {
-        if (!this->overloaded()) {
-            return std::chrono::duration_cast<base::duration>(early_return * (0.67 + 0.66 * draw));
-        }
-        auto const span = std::chrono::duration<double>(late_return - early_return);
-        return early_return + std::chrono::duration_cast<base::duration>(span * draw);
-    }
-
-private:
-    double refused_share = 0;
-};
+// The mean return where the target latency leaves room for it; docs/MEASUREMENTS.md compares it.
+inline constexpr auto longest_mean_return = std::chrono::milliseconds{150};
+// For routes that name no target.
+inline constexpr auto shortest_mean_return = std::chrono::milliseconds{20};
+// The rest of the target latency is for the second try itself.
+inline constexpr auto return_share_of_target = 1.0 / 8;
+
+// The time from the refusal on, for a route with `target` as its target latency. A third of the
+// mean is spread to either side by `draw`, which is uniform in [0, 1).
+[[nodiscard]] inline auto come_back_after(base::duration target, double draw) -> base::duration {
+    auto const share = std::chrono::duration_cast<base::duration>(target * return_share_of_target);
+    auto const mean = std::clamp<base::duration>(share, shortest_mean_return, longest_mean_return);
+    return std::chrono::duration_cast<base::duration>(mean * (2.0 / 3 + draw * 2 / 3));
+}
 
 }  // namespace linnetlane::routing
 
--- a/linnetlane/routing/upstream_health.cpp
+++ b/linnetlane/routing/upstream_health.cpp
@@ -13,7 +13,13 @@
         }
         return;
     }
+    if (outcome == exchange_outcome::abandoned) {
+        return;
+    }
     this->transport_failures_in_row = 0;
+    if (outcome == exchange_outcome::rejected) {
+        return;
+    }
     auto const sample = outcome == exchange_outcome::failed_answer ? 1.0 : 0.0;
     this->failed += newest_weight * (sample - this->failed);
     ++this->answers;
--- a/linnetlane/routing/upstream_health.h
+++ b/linnetlane/routing/upstream_health.h
@@ -13,7 +13,15 @@
 namespace linnetlane::routing {
 
 // How an exchange with an upstream went, seen from its health.
-enum class exchange_outcome { answered, failed_answer, transport_failure };
+enum class exchange_outcome {
+    answered,
+    // It said at once that it would not run the request.
+    rejected,
+    failed_answer,
+    // The caller left before the answer: the upstream took at least that long.
+    abandoned,
+    transport_failure,
+};
 
 // Belongs to one worker. One for each upstream.
 class upstream_health {
--- a/linnetlane/runtime/http.h
+++ b/linnetlane/runtime/http.h
@@ -95,6 +95,10 @@
     // As `pooled`, and the other side is probed while it is silent: for calls that wait for news,
     // where a connection that went dead looks like no news.
     probed,
+    // As `pooled`, and a new connection has to stand for a round trip before it is used. A server
+    // that accepts connections over its limit and resets them then gets nothing: for requests that
+    // must not be sent again once they may have been read.
+    settled,
     // Always a new connection: a failure to connect then proves that nothing was sent.
     fresh,
 };
--- a/linnetlane/runtime/http_client.cpp
+++ b/linnetlane/runtime/http_client.cpp
@@ -40,6 +40,8 @@
 constexpr auto kept_share_of_timeout = 0.6;
 // Connecting takes a round trip and the handshake; one that takes this long is not coming.
 constexpr auto connect_patience = std::chrono::milliseconds{400};
+// On top of the round trip, for a server to accept a connection and reset it.
+constexpr auto settling_margin = std::chrono::milliseconds{2};
 // Two probes without an answer end a connection.
 constexpr auto probe_interval = std::chrono::seconds{1};
 
@@ -113,10 +115,20 @@
     return http_failure{kind_of(error), request_reach::may_have_been_sent};
 }
 
+// Waits for as long as a reset of a connection that was begun at `began` and stands now takes to
+// arrive; whether none came.
+auto settles(connection& opened, base::time_point began, base::time_point deadline) -> bool {
+    auto const now = base::monotonic_clock::now();
+    auto const round_trip = now - began;
+    sleep_until(std::min(deadline, now + round_trip + settling_margin));
+    return opened.stream.quiet();
+}
+
 auto connect(base::endpoint const& to, connection_use use, base::time_point deadline)
     -> base::result<connection_pointer, http_failure> {
     auto opened = std::make_shared<connection>(this_context());
-    opened->stream.expires_at(std::min(deadline, base::monotonic_clock::now() + connect_patience));
+    auto const began = base::monotonic_clock::now();
+    opened->stream.expires_at(std::min(deadline, began + connect_patience));
     auto const error = opened->stream.connect(to);
     if (error == beast::error::timeout) {
         return http_failure{http_failure_kind::timed_out, request_reach::not_sent};
@@ -127,6 +139,9 @@
     if (use == connection_use::probed) {
         opened->stream.probe_while_silent(probe_interval);
     }
+    if (use == connection_use::settled && !settles(*opened, began, deadline)) {
+        return http_failure{http_failure_kind::connect_failed, request_reach::not_sent};
+    }
     return opened;
 }
 
--- a/linnetlane/runtime/http_test.cpp
+++ b/linnetlane/runtime/http_test.cpp
@@ -166,5 +166,34 @@
     });
 }
 
+BOOST_FIXTURE_TEST_CASE(a_server_over_its_connection_limit_gets_no_request_on_a_settled_connection,
+                        fixture) {
+    auto limits = http_limits{};
+    limits.connections = 0;
+    auto server = http_server(this->pool, loopback, limits,
+                              [](http_request const&, auto& responder) { responder.send({}); });
+    in_fiber(this->pool, [&] {
+        for (auto count = 0; count < 20; ++count) {
+            auto const fetched = fetch(server.address(), {}, connection_use::settled, soon());
+            BOOST_REQUIRE(!base::succeeded(fetched));
+            BOOST_TEST((base::failure_of(fetched)->reach == request_reach::not_sent));
+        }
+    });
+}
+
+BOOST_FIXTURE_TEST_CASE(a_settled_connection_is_kept_for_the_next_request, fixture) {
+    // A second connection would be over the limit.
+    auto limits = http_limits{};
+    limits.connections = 1;
+    auto server = http_server(this->pool, loopback, limits,
+                              [](http_request const&, auto& responder) { responder.send({}); });
+    in_fiber(this->pool, [&] {
+        for (auto count = 0; count < 10; ++count) {
+            BOOST_REQUIRE(
+                base::succeeded(fetch(server.address(), {}, connection_use::settled, soon())));
+        }
+    });
+}
+
 }  // namespace
 }  // namespace linnetlane::runtime
