One host of each data centre reads the registry for the others

A host that lost its own way to the store knew nothing new until it was back.

Ruled out: longer gathering of changes, since leaving upstreams have to be known within two seconds.

Change: hosts enter themselves with their data centre and an address for peers. Each follows the first host of its data centre by name for changes of the upstreams and newer configurations (Thrift over HTTP, at most 400 ms an answer); the registry's positions are the same everywhere, so a host whose neighbour fails goes on at the registry. A followed host renews its lease twice a second and is not relied on once a renewal fails.

Hosts that start in an outage still have to wait for the store, since they learn of each other there.

--- a/linnetlane/router/host.h
+++ b/linnetlane/router/host.h
@@ -42,11 +42,12 @@
         : settings{std::move(own_settings)},
           registry{std::move(own_registry)},
           log{own_log},
-          known{this->settings.retries, seed},
+          known{this->settings, seed},
           parts{own_pool, this->known, this->metrics, this->log, this->settings},
           configurations{this->registry, this->parts,
                          [this](auto const& taken) { this->apply_limits(taken.limits); }},
-          upstreams{this->registry, this->parts},
+          upstreams{this->registry, this->parts,
+                    [this](auto const& offered) { this->configurations.take(offered); }},
           membership{this->registry, this->parts} {}
 
     // Throws `boost::system::system_error` if an address can't be bound.
@@ -59,6 +60,13 @@
                                 [this](auto const& request, auto& responder) {
                                     this->serve_operator(request, responder);
                                 });
+        if (this->settings.listen.peers) {
+            this->peers.emplace(this->parts.pool, *this->settings.listen.peers,
+                                runtime::http_limits{},
+                                [this](auto const& request, auto& responder) {
+                                    this->serve_peer(request, responder);
+                                });
+        }
         this->parts.pool.spawn([this] { this->configurations.run(); });
         this->parts.pool.spawn([this] { this->upstreams.run(); });
         this->parts.pool.spawn([this] { this->upstreams.sweep(); });
@@ -85,6 +93,7 @@
                         {{"requests_under_way",
                           static_cast<std::int64_t>(this->callers->requests_under_way())}});
         this->callers->close_after_answers();
+        this->known.feed.withdraw();
         this->membership.leave();
         runtime::sleep_until(asked_at + balancer_notice);
         this->callers->stop_accepting();
@@ -125,6 +134,22 @@
         static_cast<void>(responder.send(response));
     }
 
+    // A host of the same data centre asks for the changes of the registry.
+    auto serve_peer(runtime::http_request const& request, runtime::http_responder& responder)
+        -> void {
+        auto const question = decode_question(request.body);
+        auto response = runtime::http_response{};
+        if (!question) {
+            this->log.write(telemetry::log_level::warning, "unreadable question of a host", {});
+            response.status = 400;
+        } else {
+            auto const deadline = base::monotonic_clock::now() + question->wait;
+            response.body = encode(this->known.feed.await(*question, deadline));
+        }
+        // A host that left asks elsewhere.
+        static_cast<void>(responder.send(response));
+    }
+
     auto serve(runtime::http_request const& request, runtime::http_responder& responder) -> void {
         auto const arrived = base::monotonic_clock::now();
         auto const caller = Wire::read_caller_request(request);
@@ -256,6 +281,7 @@
     host_membership<Registry, Wire> membership;
     std::optional<runtime::http_server> callers;
     std::optional<runtime::http_server> operators;
+    std::optional<runtime::http_server> peers;
     bool leaving = false;
     // Requests that come now could not be answered in time.
     bool refuse_new = false;
--- a/linnetlane/router/host_membership.h
+++ b/linnetlane/router/host_membership.h
@@ -30,6 +30,10 @@
     // Several intervals, so that a lost call or two changes nothing.
     static constexpr auto lease_span = std::chrono::seconds{10};
     static constexpr auto interval = std::chrono::milliseconds{2000};
+    // While other hosts follow this one: they learn within this and one call that it has lost the
+    // registry.
+    static constexpr auto followed_interval = std::chrono::milliseconds{500};
+    static constexpr auto followed_patience = std::chrono::milliseconds{400};
     static constexpr auto list_interval = std::chrono::seconds{6};
     // In the first seconds the pools are brought to their sizes before callers come.
     static constexpr auto first_interval = std::chrono::milliseconds{300};
@@ -55,8 +59,11 @@
     [[noreturn]] auto run() -> void {
         for (auto round = 0;; ++round) {
             this->step();
-            auto const pause = round < first_intervals ? first_interval : interval;
-            runtime::sleep_until(base::monotonic_clock::now() + pause);
+            auto const now = base::monotonic_clock::now();
+            auto const usual = this->parts.known.feed.has_followers(now)
+                                   ? base::duration{followed_interval}
+                                   : base::duration{interval};
+            runtime::sleep_until(now + (round < first_intervals ? first_interval : usual));
         }
     }
 
@@ -76,11 +83,15 @@
         if (this->leaving) {
             return;
         }
+        auto const asked_at = base::monotonic_clock::now();
         if (!this->hold_lease()) {
             // The registry may have fallen silent towards the waiting calls as well.
+            this->parts.known.feed.withdraw();
             this->registry.interrupt_waits();
             return;
         }
+        // Until the next answer is due.
+        this->parts.known.feed.vouch(asked_at + interval + call_patience);
         if (this->list_due()) {
             this->list();
         }
@@ -106,10 +117,11 @@
             return;
         }
         auto const& listed = base::value_of(listing);
+        this->parts.known.relays.set_hosts(listed.hosts);
         // Hosts that were there lately may still use their share.
         auto const now = base::monotonic_clock::now();
-        if (listed.hosts >= this->most_hosts || now >= this->most_hosts_until) {
-            this->most_hosts = listed.hosts;
+        if (listed.hosts.size() >= this->most_hosts || now >= this->most_hosts_until) {
+            this->most_hosts = listed.hosts.size();
             this->most_hosts_until = now + this->parts.settings.retries.window;
         }
         this->parts.known.hosts = std::max<std::size_t>(this->most_hosts, 1);
@@ -119,7 +131,10 @@
     // Renews the lease or takes a new one; whether the registry answered.
     auto hold_lease() -> bool {
         auto const now = base::boot_clock::now();
-        auto const deadline = base::monotonic_clock::now() + call_patience;
+        auto const asked_at = base::monotonic_clock::now();
+        auto const deadline = asked_at + (this->parts.known.feed.has_followers(asked_at)
+                                              ? base::duration{followed_patience}
+                                              : base::duration{call_patience});
         if (this->lease) {
             auto const kept = this->registry.keep(*this->lease, deadline);
             if (auto const* const lasts = std::get_if<base::duration>(&kept)) {
@@ -135,7 +150,9 @@
             this->lease.reset();
             this->right.reset();
         }
-        auto const joined = this->registry.join(this->parts.settings.host, lease_span, deadline);
+        auto const& own = this->parts.settings;
+        auto const joined = this->registry.join(
+            host_entry{own.host, own.data_centre, own.listen.peers}, lease_span, deadline);
         auto const* const granted = std::get_if<granted_lease>(&joined);
         if (granted == nullptr) {
             return false;
--- a/linnetlane/router/messages.h
+++ b/linnetlane/router/messages.h
@@ -195,8 +195,16 @@
     base::duration lasts{};
 };
 
+// A host, as it enters itself in the registry.
+struct host_entry {
+    base::host_id host;
+    base::data_centre_id data_centre;
+    // Where hosts of its data centre may ask it; none if they may not.
+    std::optional<base::endpoint> peers;
+};
+
 struct host_listing {
-    std::size_t hosts = 0;
+    std::vector<host_entry> hosts;
     // The host that holds the right to give orders.
     std::optional<base::host_id> order_giver;
 };
@@ -205,7 +213,8 @@
 template <typename Registry>
 concept router_registry = requires(Registry& registry, registry_position position,
                                    base::duration wait, base::time_point deadline,
-                                   base::host_id const& host, registry_lease lease) {
+                                   host_entry const& self, base::host_id const& host,
+                                   registry_lease lease) {
     {
         registry.read_configuration(deadline)
         } -> std::same_as<base::result<configuration_reading, registry_failure>>;
@@ -223,7 +232,7 @@
     {registry.interrupt_waits()};
     // Enters this host in the list of hosts.
     {
-        registry.join(host, wait, deadline)
+        registry.join(self, wait, deadline)
         } -> std::same_as<base::result<granted_lease, registry_failure>>;
     {
         registry.keep(lease, deadline)
--- /dev/null
+++ b/linnetlane/router/peer.thrift
@@ -0,0 +1,98 @@
+// What hosts of a data centre ask each other, so that one of them reads the registry for all.
+//
+// Each body of an HTTP exchange is one of these structs in Thrift's compact protocol. Spans are in
+// microseconds. Fields are only ever added, with new numbers, so that mixed versions can talk.
+
+namespace cpp linnetlane.router.peer_wire
+
+enum stage {
+    none = 0,
+    prefill = 1,
+    decode = 2,
+}
+
+struct upstream {
+    1: string id,
+    2: string service_name,
+    3: string address,
+    4: i32 port,
+    5: string data_centre,
+    6: i64 started,
+    7: i64 slots,
+    8: bool leaving,
+    9: i32 stage,
+}
+
+struct weighted_service {
+    1: string service_name,
+    2: double weight,
+}
+
+struct route {
+    1: string name,
+    2: string host,
+    3: string prefix,
+    4: list<weighted_service> targets,
+    5: bool at_most_once,
+    6: bool streams,
+    7: bool resumable,
+    8: bool generates,
+    9: i64 timeout,
+    10: i64 target_latency,
+    11: i32 priority,
+    12: i64 most_attempts,
+}
+
+struct engine_shape {
+    1: i64 memory,
+    2: i64 slots,
+    3: i64 longest_reservation,
+    4: i64 result_kept,
+    5: i64 stage_switch,
+}
+
+struct service_terms {
+    1: string name,
+    2: i64 most_connections,
+    3: optional engine_shape engine,
+}
+
+struct caller_limits {
+    1: i64 header_bytes,
+    2: i64 body_bytes,
+    3: i64 request_arrival,
+    4: i64 idle,
+}
+
+struct configuration {
+    1: i64 version,
+    2: list<route> routes,
+    3: list<service_terms> services,
+    4: caller_limits limits,
+}
+
+// Asks for the changes after a position of the registry.
+struct changes_question {
+    1: i64 after,
+    // How long the answer may take when there is no change.
+    2: i64 wait,
+    // The configuration that the asker has; 0 for none.
+    3: i64 configuration_version,
+}
+
+enum outcome {
+    changes = 0,
+    // The asked host doesn't read the registry itself, or has lost it.
+    unavailable = 1,
+    // The changes are no longer known.
+    history_lost = 2,
+}
+
+struct changes_answer {
+    1: i32 outcome,
+    2: i64 position,
+    3: list<upstream> put,
+    4: list<string> removed,
+    // Only if it is newer than the asker's.
+    5: optional configuration newer_configuration,
+}
--- /dev/null
+++ b/linnetlane/router/peer_codec.cpp
@@ -0,0 +1,306 @@
+#include "linnetlane/router/peer_codec.h"
+
+#include <algorithm>
+#include <cstdint>
+#include <limits>
+#include <memory>
+#include <new>
+#include <utility>
+
+#include <thrift/Thrift.h>
+#include <thrift/protocol/TCompactProtocol.h>
+#include <thrift/transport/TBufferTransports.h>
+
+#include "linnetlane/router/generated/peer_types.h"
+
+namespace linnetlane::router {
+
+namespace {
+
+using apache::thrift::protocol::TCompactProtocolT;
+using apache::thrift::transport::TMemoryBuffer;
+using compact_protocol = TCompactProtocolT<TMemoryBuffer>;
+
+// Bounds on what a body may announce; a listing of thousands of upstreams stays below them.
+constexpr auto most_body_bytes = std::int32_t{4} * 1024 * 1024;
+constexpr auto most_items = std::int32_t{100'000};
+// A longer wait is none of ours.
+constexpr auto longest_wait = std::chrono::seconds{30};
+// Spans of a configuration are held to this, so that no deadline overflows.
+constexpr auto longest_span = std::chrono::hours{24 * 365};
+
+template <typename Message>
+auto write(Message const& message) -> std::string {
+    auto const buffer = std::make_shared<TMemoryBuffer>();
+    auto protocol = compact_protocol{buffer};
+    message.write(&protocol);
+    return buffer->getBufferAsString();
+}
+
+template <typename Message>
+auto read(std::string_view text) -> std::optional<Message> {
+    try {
+        // Observed only: Thrift doesn't write to it.
+        auto* const bytes = reinterpret_cast<std::uint8_t*>(const_cast<char*>(text.data()));
+        auto const buffer =
+            std::make_shared<TMemoryBuffer>(bytes, static_cast<std::uint32_t>(text.size()));
+        auto protocol = compact_protocol{buffer, most_body_bytes, most_items};
+        auto message = Message{};
+        message.read(&protocol);
+        return message;
+    } catch (apache::thrift::TException const&) {
+        return std::nullopt;
+    } catch (std::bad_alloc const&) {
+        return std::nullopt;
+    }
+}
+
+auto to_wire(std::optional<routing::engine_stage> stage) -> peer_wire::stage::type {
+    if (!stage) {
+        return peer_wire::stage::none;
+    }
+    return *stage == routing::engine_stage::prefill ? peer_wire::stage::prefill
+                                                    : peer_wire::stage::decode;
+}
+
+auto to_wire(routing::upstream_record const& record) -> peer_wire::upstream {
+    auto out = peer_wire::upstream{};
+    out.__set_id(record.id.value);
+    out.__set_service_name(record.service.value);
+    out.__set_address(record.address.address);
+    out.__set_port(record.address.port);
+    out.__set_data_centre(record.data_centre.value);
+    out.__set_started(static_cast<std::int64_t>(record.started.value));
+    out.__set_slots(static_cast<std::int64_t>(record.slots));
+    out.__set_leaving(record.leaving);
+    out.__set_stage(to_wire(record.stage));
+    return out;
+}
+
+auto microseconds_of(base::duration span) -> std::int64_t {
+    return std::chrono::duration_cast<std::chrono::microseconds>(span).count();
+}
+
+auto to_wire(routing::route const& route) -> peer_wire::route {
+    auto out = peer_wire::route{};
+    out.__set_name(route.name.value);
+    out.__set_host(route.host);
+    out.__set_prefix(route.prefix);
+    for (auto const& target : route.targets) {
+        auto part = peer_wire::weighted_service{};
+        part.__set_service_name(target.service.value);
+        part.__set_weight(target.weight);
+        out.targets.push_back(part);
+    }
+    out.__set_at_most_once(route.repeats == routing::repetition::at_most_once);
+    out.__set_streams(route.streams);
+    out.__set_resumable(route.resumable);
+    out.__set_generates(route.generates);
+    out.__set_timeout(microseconds_of(route.timeout));
+    out.__set_target_latency(microseconds_of(route.target_latency));
+    out.__set_priority(route.priority);
+    out.__set_most_attempts(static_cast<std::int64_t>(route.most_attempts));
+    return out;
+}
+
+auto to_wire(routing::service const& service) -> peer_wire::service_terms {
+    auto out = peer_wire::service_terms{};
+    out.__set_name(service.id.value);
+    out.__set_most_connections(static_cast<std::int64_t>(service.most_connections));
+    if (service.engine) {
+        auto engine = peer_wire::engine_shape{};
+        engine.__set_memory(service.engine->memory.value);
+        engine.__set_slots(static_cast<std::int64_t>(service.engine->slots));
+        engine.__set_longest_reservation(microseconds_of(service.engine->longest_reservation));
+        engine.__set_result_kept(microseconds_of(service.engine->result_kept));
+        engine.__set_stage_switch(microseconds_of(service.engine->stage_switch));
+        out.__set_engine(engine);
+    }
+    return out;
+}
+
+auto to_wire(routing::configuration const& configuration) -> peer_wire::configuration {
+    auto out = peer_wire::configuration{};
+    out.__set_version(static_cast<std::int64_t>(configuration.version.value));
+    for (auto const& route : configuration.routes) {
+        out.routes.push_back(to_wire(route));
+    }
+    for (auto const& [id, service] : configuration.services) {
+        out.services.push_back(to_wire(service));
+    }
+    auto const& limits = configuration.limits;
+    out.limits.__set_header_bytes(static_cast<std::int64_t>(limits.header_bytes));
+    out.limits.__set_body_bytes(static_cast<std::int64_t>(limits.body_bytes));
+    out.limits.__set_request_arrival(microseconds_of(limits.request_arrival));
+    out.limits.__set_idle(microseconds_of(limits.idle));
+    return out;
+}
+
+auto to_wire(changes_answer const& answer) -> peer_wire::changes_answer {
+    auto out = peer_wire::changes_answer{};
+    if (auto const* const failure = base::failure_of(answer)) {
+        out.__set_outcome(*failure == registry_failure::history_lost
+                              ? peer_wire::outcome::history_lost
+                              : peer_wire::outcome::unavailable);
+        return out;
+    }
+    auto const& news = base::value_of(answer);
+    auto const& changes = news.upstreams;
+    if (news.configuration) {
+        out.__set_newer_configuration(to_wire(*news.configuration));
+    }
+    out.__set_outcome(peer_wire::outcome::changes);
+    out.__set_position(static_cast<std::int64_t>(changes.position.value));
+    for (auto const& record : changes.put) {
+        out.put.push_back(to_wire(record));
+    }
+    for (auto const& id : changes.removed) {
+        out.removed.push_back(id.value);
+    }
+    return out;
+}
+
+auto from_wire(peer_wire::upstream&& in) -> std::optional<routing::upstream_record> {
+    auto const port_fits = in.port > 0 && in.port <= std::numeric_limits<std::uint16_t>::max();
+    auto const stage_known =
+        in.stage >= peer_wire::stage::none && in.stage <= peer_wire::stage::decode;
+    if (in.id.empty() || !port_fits || !stage_known || in.slots < 0) {
+        return std::nullopt;
+    }
+    auto record = routing::upstream_record{};
+    record.id.value = std::move(in.id);
+    record.service.value = std::move(in.service_name);
+    record.address = {std::move(in.address), static_cast<std::uint16_t>(in.port)};
+    record.data_centre.value = std::move(in.data_centre);
+    record.started.value = static_cast<std::uint64_t>(in.started);
+    record.slots = static_cast<std::size_t>(in.slots);
+    record.leaving = in.leaving;
+    if (in.stage != peer_wire::stage::none) {
+        record.stage = in.stage == peer_wire::stage::prefill ? routing::engine_stage::prefill
+                                                             : routing::engine_stage::decode;
+    }
+    return record;
+}
+
+// Amounts that are below 0 on the wire are read as 0.
+auto amount(std::int64_t value) -> std::size_t {
+    return static_cast<std::size_t>(std::max<std::int64_t>(value, 0));
+}
+
+auto span(std::int64_t microseconds) -> base::duration {
+    return std::chrono::microseconds{
+        std::clamp<std::int64_t>(microseconds, 0, std::chrono::microseconds{longest_span}.count())};
+}
+
+auto from_wire(peer_wire::route&& in) -> routing::route {
+    auto route = routing::route{};
+    route.name.value = std::move(in.name);
+    route.host = std::move(in.host);
+    route.prefix = std::move(in.prefix);
+    for (auto& target : in.targets) {
+        route.targets.push_back({base::service_id{std::move(target.service_name)}, target.weight});
+    }
+    route.repeats =
+        in.at_most_once ? routing::repetition::at_most_once : routing::repetition::idempotent;
+    route.streams = in.streams;
+    route.resumable = in.resumable;
+    route.generates = in.generates;
+    route.timeout = span(in.timeout);
+    route.target_latency = span(in.target_latency);
+    route.priority = in.priority;
+    route.most_attempts = amount(in.most_attempts);
+    return route;
+}
+
+auto from_wire(peer_wire::service_terms&& in) -> routing::service {
+    auto service = routing::service{};
+    service.id.value = std::move(in.name);
+    service.most_connections = amount(in.most_connections);
+    if (in.__isset.engine) {
+        auto engine = routing::engine_shape{};
+        engine.memory.value = in.engine.memory;
+        engine.slots = amount(in.engine.slots);
+        engine.longest_reservation = span(in.engine.longest_reservation);
+        engine.result_kept = span(in.engine.result_kept);
+        engine.stage_switch = span(in.engine.stage_switch);
+        service.engine = engine;
+    }
+    return service;
+}
+
+auto from_wire(peer_wire::configuration&& in) -> routing::configuration {
+    auto configuration = routing::configuration{};
+    configuration.version.value = static_cast<std::uint64_t>(in.version);
+    for (auto& route : in.routes) {
+        configuration.routes.push_back(from_wire(std::move(route)));
+    }
+    for (auto& each : in.services) {
+        auto service = from_wire(std::move(each));
+        auto const id = service.id;
+        configuration.services.insert_or_assign(id, std::move(service));
+    }
+    configuration.limits.header_bytes = amount(in.limits.header_bytes);
+    configuration.limits.body_bytes = amount(in.limits.body_bytes);
+    configuration.limits.request_arrival = span(in.limits.request_arrival);
+    configuration.limits.idle = span(in.limits.idle);
+    return configuration;
+}
+
+}  // namespace
+
+auto encode(changes_question const& question) -> std::string {
+    auto out = peer_wire::changes_question{};
+    out.__set_after(static_cast<std::int64_t>(question.after.value));
+    out.__set_wait(microseconds_of(question.wait));
+    out.__set_configuration_version(static_cast<std::int64_t>(question.configuration.value));
+    return write(out);
+}
+
+auto encode(changes_answer const& answer) -> std::string {
+    return write(to_wire(answer));
+}
+
+auto decode_question(std::string_view text) -> std::optional<changes_question> {
+    auto const in = read<peer_wire::changes_question>(text);
+    constexpr auto most = std::chrono::microseconds{longest_wait}.count();
+    if (!in || !in->__isset.after || in->wait < 0 || in->wait > most) {
+        return std::nullopt;
+    }
+    return changes_question{
+        registry_position{static_cast<std::uint64_t>(in->after)},
+        std::chrono::microseconds{in->wait},
+        routing::configuration_version{static_cast<std::uint64_t>(in->configuration_version)}};
+}
+
+auto decode_answer(std::string_view text) -> changes_answer {
+    auto in = read<peer_wire::changes_answer>(text);
+    if (!in || !in->__isset.outcome) {
+        return registry_failure::malformed;
+    }
+    if (in->outcome == peer_wire::outcome::history_lost) {
+        return registry_failure::history_lost;
+    }
+    if (in->outcome != peer_wire::outcome::changes) {
+        return registry_failure::unavailable;
+    }
+    auto news = registry_news{};
+    auto& changes = news.upstreams;
+    changes.position.value = static_cast<std::uint64_t>(in->position);
+    for (auto& each : in->put) {
+        auto record = from_wire(std::move(each));
+        if (!record) {
+            return registry_failure::malformed;
+        }
+        changes.put.push_back(std::move(*record));
+    }
+    for (auto& id : in->removed) {
+        changes.removed.emplace_back(std::move(id));
+    }
+    if (in->__isset.newer_configuration) {
+        news.configuration = std::make_shared<routing::configuration const>(
+            from_wire(std::move(in->newer_configuration)));
+    }
+    return news;
+}
+
+}  // namespace linnetlane::router
--- /dev/null
+++ b/linnetlane/router/peers_test.cpp
@@ -0,0 +1,279 @@
+// What hosts of a data centre tell each other: the messages, who follows whom, and that a host that
+// follows another one knows what the registry holds.
+
+#include <algorithm>
+#include <chrono>
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include <rapidcheck.h>
+#include <boost/test/unit_test.hpp>
+
+#include "linnetlane/router/peer_codec.h"
+#include "linnetlane/router/registry_feed.h"
+#include "linnetlane/router/relay_choice.h"
+
+namespace linnetlane::router {
+namespace {
+
+auto const start = base::time_point{} + std::chrono::hours{1};
+// Of calls that must not wait.
+auto const past = base::time_point::min();
+
+auto any_record() -> routing::upstream_record {
+    auto record = routing::upstream_record{};
+    record.id.value = "u" + std::to_string(*rc::gen::inRange(0, 12));
+    record.service.value = *rc::gen::element<std::string>("llm", "app");
+    record.address = {"10.0.0.1", *rc::gen::inRange<std::uint16_t>(1, 65'535)};
+    record.data_centre.value = *rc::gen::element<std::string>("a", "b", "");
+    record.started.value = *rc::gen::inRange<std::uint64_t>(0, 1'800'000'000'000);
+    record.slots = *rc::gen::inRange<std::size_t>(0, 100);
+    record.leaving = *rc::gen::arbitrary<bool>();
+    record.stage = *rc::gen::element<std::optional<routing::engine_stage>>(
+        std::nullopt, routing::engine_stage::prefill, routing::engine_stage::decode);
+    return record;
+}
+
+auto any_changes(registry_position position) -> upstream_changes {
+    auto changes = upstream_changes{{}, {}, position};
+    auto const count = *rc::gen::inRange(0, 5);
+    for (auto index = 0; index < count; ++index) {
+        auto const record = any_record();
+        auto const known =
+            std::ranges::any_of(changes.put,
+                                [&](auto const& each) { return each.id == record.id; }) ||
+            std::ranges::find(changes.removed, record.id) != changes.removed.end();
+        if (known) {
+            continue;
+        }
+        if (*rc::gen::arbitrary<bool>()) {
+            changes.put.push_back(record);
+        } else {
+            changes.removed.push_back(record.id);
+        }
+    }
+    return changes;
+}
+
+auto any_span() -> base::duration {
+    return std::chrono::microseconds{*rc::gen::inRange(0, 1'000'000'000)};
+}
+
+auto any_configuration() -> routing::configuration {
+    auto made = routing::configuration{};
+    made.version.value = *rc::gen::inRange<std::uint64_t>(1, 1'000'000);
+    auto const count = *rc::gen::inRange(0, 4);
+    for (auto index = 0; index < count; ++index) {
+        auto route = routing::route{};
+        route.name.value = "r" + std::to_string(index);
+        route.host = "a.example";
+        route.prefix = "/" + std::to_string(index) + "/";
+        route.targets = {{base::service_id{"llm"}, 0.25}, {base::service_id{"app"}, 0.75}};
+        route.repeats =
+            *rc::gen::element(routing::repetition::idempotent, routing::repetition::at_most_once);
+        route.streams = *rc::gen::arbitrary<bool>();
+        route.resumable = *rc::gen::arbitrary<bool>();
+        route.generates = *rc::gen::arbitrary<bool>();
+        route.timeout = any_span();
+        route.target_latency = any_span();
+        route.priority = *rc::gen::inRange(0, 10);
+        route.most_attempts = *rc::gen::inRange<std::size_t>(0, 5);
+        made.routes.push_back(route);
+    }
+    auto llm = routing::service{base::service_id{"llm"}, 230, routing::engine_shape{}};
+    llm.engine->memory.value = 75'851;
+    llm.engine->slots = *rc::gen::inRange<std::size_t>(0, 100);
+    llm.engine->longest_reservation = any_span();
+    llm.engine->result_kept = any_span();
+    llm.engine->stage_switch = any_span();
+    made.services = {{llm.id, llm},
+                     {base::service_id{"app"}, {base::service_id{"app"}, 100, std::nullopt}}};
+    made.limits.header_bytes = *rc::gen::inRange<std::size_t>(0, 100'000);
+    made.limits.idle = any_span();
+    return made;
+}
+
+auto ask_after(registry_position after) -> changes_question {
+    return changes_question{after, {}, {}};
+}
+
+using upstream_map = std::map<base::upstream_id, routing::upstream_record>;
+
+auto apply(upstream_map& known, upstream_changes const& changes) -> void {
+    for (auto const& record : changes.put) {
+        known.insert_or_assign(record.id, record);
+    }
+    for (auto const& id : changes.removed) {
+        known.erase(id);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(messages_come_back_as_they_were) {
+    BOOST_TEST(rc::check([] {
+        auto const changes =
+            any_changes(registry_position{*rc::gen::inRange<std::uint64_t>(0, 99)});
+        auto const configuration = any_configuration();
+        auto const news =
+            registry_news{changes, std::make_shared<routing::configuration const>(configuration)};
+        auto const back = decode_answer(encode(changes_answer{news}));
+        RC_ASSERT(base::succeeded(back));
+        auto const& upstreams = base::value_of(back).upstreams;
+        RC_ASSERT(upstreams.put == changes.put);
+        RC_ASSERT(upstreams.removed == changes.removed);
+        RC_ASSERT(upstreams.position == changes.position);
+        RC_ASSERT(*base::value_of(back).configuration == configuration);
+    }));
+    for (auto const failure : {registry_failure::unavailable, registry_failure::history_lost}) {
+        auto const back = decode_answer(encode(changes_answer{failure}));
+        BOOST_REQUIRE(base::failure_of(back) != nullptr);
+        BOOST_TEST((*base::failure_of(back) == failure));
+    }
+    auto const question = decode_question(
+        encode(changes_question{registry_position{7}, std::chrono::seconds{1}, {4}}));
+    BOOST_REQUIRE(question.has_value());
+    BOOST_TEST(question->after.value == 7U);
+    BOOST_TEST(base::to_seconds(question->wait) == 1.0);
+    BOOST_TEST(question->configuration.value == 4U);
+}
+
+BOOST_AUTO_TEST_CASE(cut_and_foreign_bytes_are_no_messages) {
+    auto const whole =
+        encode(changes_answer{registry_news{{{}, {base::upstream_id{"u1"}}, {7}}, nullptr}});
+    for (auto length = std::size_t{0}; length + 1 < whole.size(); ++length) {
+        auto const read = decode_answer(std::string_view{whole}.substr(0, length));
+        BOOST_TEST(base::failure_of(read) != nullptr);
+    }
+    BOOST_TEST(!decode_question("").has_value());
+    BOOST_TEST(!decode_question("{\"after\":1}").has_value());
+    BOOST_TEST(
+        !decode_question(encode(changes_question{{1}, std::chrono::hours{1}, {}})).has_value());
+    BOOST_TEST(rc::check([] {
+        // No bytes end the process.
+        static_cast<void>(decode_answer(*rc::gen::arbitrary<std::string>()));
+        static_cast<void>(decode_question(*rc::gen::arbitrary<std::string>()));
+    }));
+}
+
+BOOST_AUTO_TEST_CASE(a_host_that_follows_another_one_ends_with_the_same_upstreams) {
+    BOOST_TEST(rc::check([] {
+        auto feed = registry_feed{};
+        feed.set_reads_configuration(true);
+        auto const began = registry_position{*rc::gen::inRange<std::uint64_t>(0, 20)};
+        feed.restart(began);
+        feed.vouch(base::time_point::max());
+        auto registry = upstream_map{};
+        auto followed = upstream_map{};
+        auto position = began;
+        auto at = began;
+        auto const steps = *rc::gen::inRange(0, 40);
+        for (auto step = 0; step < steps; ++step) {
+            at.value += *rc::gen::inRange<std::uint64_t>(1, 5);
+            auto const changes = any_changes(at);
+            apply(registry, changes);
+            feed.publish(changes);
+            if (*rc::gen::inRange(0, 3) == 0) {
+                auto const answer = feed.await(ask_after(position), past);
+                RC_ASSERT(base::succeeded(answer));
+                apply(followed, base::value_of(answer).upstreams);
+                position = base::value_of(answer).upstreams.position;
+                RC_ASSERT(followed == registry);
+            }
+        }
+    }));
+}
+
+BOOST_AUTO_TEST_CASE(what_happened_before_the_last_full_read_is_not_known) {
+    auto feed = registry_feed{};
+    feed.set_reads_configuration(true);
+    feed.restart(registry_position{10});
+    feed.vouch(base::time_point::max());
+    auto const older = feed.await(ask_after({9}), past);
+    BOOST_REQUIRE(base::failure_of(older) != nullptr);
+    BOOST_TEST((*base::failure_of(older) == registry_failure::history_lost));
+    // A host that has read more than this one keeps its position.
+    auto const newer = feed.await(ask_after({12}), past);
+    BOOST_REQUIRE(base::succeeded(newer));
+    BOOST_TEST(base::value_of(newer).upstreams.position.value == 12U);
+}
+
+BOOST_AUTO_TEST_CASE(a_host_that_lost_the_registry_is_not_relied_on) {
+    auto feed = registry_feed{};
+    feed.set_reads_configuration(true);
+    auto const refuses = [&] {
+        auto const answer = feed.await(ask_after({10}), past);
+        return base::failure_of(answer) != nullptr &&
+               *base::failure_of(answer) == registry_failure::unavailable;
+    };
+    BOOST_TEST(refuses());
+    feed.restart(registry_position{10});
+    // The registry has not answered a renewal yet.
+    BOOST_TEST(refuses());
+    feed.vouch(base::time_point::max());
+    BOOST_TEST(!refuses());
+    feed.withdraw();
+    BOOST_TEST(refuses());
+    feed.publish(upstream_changes{{}, {}, {11}});
+    BOOST_TEST(!refuses());
+    feed.set_reads_configuration(false);
+    BOOST_TEST(refuses());
+    feed.set_reads_configuration(true);
+    feed.vouch(past);
+    BOOST_TEST(refuses());
+}
+
+BOOST_AUTO_TEST_CASE(a_newer_configuration_comes_along_and_an_older_one_never) {
+    auto feed = registry_feed{};
+    feed.set_reads_configuration(true);
+    feed.restart(registry_position{10});
+    feed.vouch(base::time_point::max());
+    auto const in_force = std::make_shared<routing::configuration const>(
+        routing::configuration{routing::configuration_version{5}, {}, {}, {}});
+    feed.publish(in_force);
+    auto const brings = [&](std::uint64_t version) {
+        auto const answer =
+            feed.await(changes_question{{10}, {}, routing::configuration_version{version}}, past);
+        return base::succeeded(answer) && base::value_of(answer).configuration == in_force;
+    };
+    BOOST_TEST(brings(0));
+    BOOST_TEST(brings(4));
+    BOOST_TEST(!brings(5));
+    BOOST_TEST(!brings(6));
+}
+
+auto entry(std::string name, std::string data_centre) -> host_entry {
+    return host_entry{base::host_id{std::move(name)}, base::data_centre_id{std::move(data_centre)},
+                      base::endpoint{"10.0.0.1", 1}};
+}
+
+BOOST_AUTO_TEST_CASE(the_first_host_of_a_data_centre_reads_for_the_others) {
+    auto choice = relay_choice{base::host_id{"h3"}, base::data_centre_id{"a"}};
+    BOOST_TEST(!choice.choose(start).has_value());
+    choice.set_hosts({entry("h3", "a"), entry("h2", "a"), entry("h1", "b")});
+    BOOST_TEST(choice.choose(start)->host.value == "h2");
+    choice.set_hosts({entry("h3", "a"), entry("h4", "a"), entry("h1", "b")});
+    BOOST_TEST(!choice.choose(start).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(a_host_that_failed_is_passed_over_for_a_while) {
+    auto choice = relay_choice{base::host_id{"h3"}, base::data_centre_id{"a"}};
+    choice.set_hosts({entry("h1", "a"), entry("h2", "a"), entry("h3", "a")});
+    choice.note_failure(base::host_id{"h1"}, start);
+    BOOST_TEST(choice.choose(start)->host.value == "h2");
+    choice.note_failure(base::host_id{"h2"}, start);
+    BOOST_TEST(!choice.choose(start).has_value());
+    BOOST_TEST(choice.choose(start + relay_choice::passed_over_for)->host.value == "h1");
+}
+
+BOOST_AUTO_TEST_CASE(a_host_without_an_address_for_peers_is_not_followed) {
+    auto choice = relay_choice{base::host_id{"h3"}, base::data_centre_id{"a"}};
+    auto silent = entry("h1", "a");
+    silent.peers.reset();
+    choice.set_hosts({silent, entry("h3", "a")});
+    BOOST_TEST(!choice.choose(start).has_value());
+}
+
+}  // namespace
+}  // namespace linnetlane::router
--- a/linnetlane/router/region.h
+++ b/linnetlane/router/region.h
@@ -13,6 +13,9 @@
 #include "linnetlane/base/ids.h"
 #include "linnetlane/base/time.h"
 #include "linnetlane/router/messages.h"
+#include "linnetlane/router/registry_feed.h"
+#include "linnetlane/router/relay_choice.h"
+#include "linnetlane/router/settings.h"
 #include "linnetlane/routing/admission.h"
 #include "linnetlane/routing/configuration.h"
 #include "linnetlane/routing/generation_pool.h"
@@ -39,8 +42,8 @@
     // Hosts that are assumed to share the budgets before any list of hosts was read.
     static constexpr auto assumed_hosts = std::size_t{64};
 
-    region(routing::retry_bounds const& own_bounds, std::uint32_t seed)
-        : bounds{own_bounds}, random{seed} {}
+    region(router_settings const& settings, std::uint32_t seed)
+        : relays{settings.host, settings.data_centre}, bounds{settings.retries}, random{seed} {}
 
     // Whether requests can be routed.
     [[nodiscard]] auto ready() const -> bool {
@@ -59,6 +62,11 @@
     routing::route_table routes;
     routing::upstream_set upstreams;
     std::size_t hosts = assumed_hosts;
+    // For the hosts that follow this one.
+    registry_feed feed;
+    relay_choice relays;
+    // While another host brings the changes of the registry.
+    base::time_point relayed_until = base::time_point::min();
 
 private:
     routing::retry_bounds bounds;
--- a/linnetlane/router/registry_follower.h
+++ b/linnetlane/router/registry_follower.h
@@ -13,6 +13,7 @@
 #include <utility>
 
 #include "linnetlane/router/messages.h"
+#include "linnetlane/router/peer_codec.h"
 #include "linnetlane/router/request_context.h"
 
 namespace linnetlane::router {
@@ -30,6 +31,12 @@
     static constexpr auto gather = std::chrono::milliseconds{200};
     static constexpr auto first_pause = std::chrono::milliseconds{50};
     static constexpr auto longest_pause = std::chrono::milliseconds{800};
+    // For a host that is followed, to answer when there is no change.
+    static constexpr auto peer_wait = std::chrono::milliseconds{400};
+    // Beyond that wait, before the registry is asked instead.
+    static constexpr auto peer_patience = std::chrono::milliseconds{250};
+    // How often the reader of the configuration looks whether another host still brings it.
+    static constexpr auto relayed_check = std::chrono::milliseconds{100};
 };
 
 // Pauses between tries, longer after each failure, with a random part.
@@ -96,13 +103,18 @@
     [[noreturn]] auto run() -> void {
         auto position = std::optional<registry_position>{};
         for (;;) {
+            if (this->wait_while_relayed()) {
+                position.reset();
+            }
             auto const now = base::monotonic_clock::now();
             auto const reading =
                 position ? this->registry.await_configuration(
                                *position, follow_timing::wait,
                                now + follow_timing::wait + follow_timing::patience)
                          : this->registry.read_configuration(now + follow_timing::read_patience);
-            if (auto const* const failure = base::failure_of(reading)) {
+            auto const* const failure = base::failure_of(reading);
+            this->parts.known.feed.set_reads_configuration(failure == nullptr);
+            if (failure != nullptr) {
                 this->after_failure(*failure, position.has_value());
                 position.reset();
                 continue;
@@ -114,16 +126,7 @@
         }
     }
 
-private:
-    auto after_failure(registry_failure failure, bool was_waiting) -> void {
-        if (failure == registry_failure::history_lost || was_waiting) {
-            // The full read that follows tells whether the registry is there.
-            return;
-        }
-        this->watchdog.failed(failure);
-        this->pause.after_failure(this->parts.known.draw());
-    }
-
+    // Puts `offered` in force unless a newer one is; it may be null.
     auto take(std::shared_ptr<routing::configuration const> const& offered) -> void {
         if (offered == nullptr) {
             return;
@@ -132,6 +135,7 @@
         if (!taken) {
             return;
         }
+        this->parts.known.feed.publish(offered);
         this->parts.metrics.set_configuration(offered->version);
         this->parts.log.write(telemetry::log_level::info, "configuration in force",
                               {{"version", static_cast<std::int64_t>(offered->version.value)},
@@ -139,6 +143,29 @@
         this->on_taken(*offered);
     }
 
+private:
+    // Another host brings configurations along with the changes of the upstreams; whether one did.
+    auto wait_while_relayed() -> bool {
+        auto const& until = this->parts.known.relayed_until;
+        auto const relayed = base::monotonic_clock::now() < until;
+        if (relayed) {
+            this->parts.known.feed.set_reads_configuration(false);
+        }
+        while (base::monotonic_clock::now() < until) {
+            runtime::sleep_until(base::monotonic_clock::now() + follow_timing::relayed_check);
+        }
+        return relayed;
+    }
+
+    auto after_failure(registry_failure failure, bool was_waiting) -> void {
+        if (failure == registry_failure::history_lost || was_waiting) {
+            // The full read that follows tells whether the registry is there.
+            return;
+        }
+        this->watchdog.failed(failure);
+        this->pause.after_failure(this->parts.known.draw());
+    }
+
     Registry& registry;
     host_parts const& parts;
     taken_hook on_taken;
@@ -151,8 +178,15 @@
 public:
     static constexpr auto sweep_interval = std::chrono::milliseconds{200};
 
-    upstream_follower(Registry& own_registry, host_parts const& own_parts)
-        : registry{own_registry}, parts{own_parts}, watchdog{own_parts, "upstreams"} {}
+    // Takes the configurations that a followed host brings along.
+    using configuration_hook =
+        std::function<void(std::shared_ptr<routing::configuration const> const&)>;
+
+    upstream_follower(Registry& own_registry, host_parts const& own_parts, configuration_hook hook)
+        : registry{own_registry},
+          parts{own_parts},
+          on_configuration{std::move(hook)},
+          watchdog{own_parts, "upstreams"} {}
 
     // Drops records whose grace is over. Never returns.
     [[noreturn]] auto sweep() -> void {
@@ -198,11 +232,71 @@
             this->parts.known.upstreams.replace_all(listed.records, base::monotonic_clock::now());
         this->log_gone(dropped);
         this->publish();
+        this->parts.known.feed.restart(listed.position);
         return listed.position;
     }
 
     // Waits for changes; the position after them, or nothing after a failure.
     auto follow(registry_position position) -> std::optional<registry_position> {
+        auto const now = base::monotonic_clock::now();
+        auto const relay = this->parts.known.relays.choose(now);
+        this->note_source(relay);
+        if (!relay) {
+            return this->follow_registry(position);
+        }
+        this->parts.known.feed.withdraw();
+        auto const answer = this->ask_relay(*relay, position);
+        if (auto const* const failure = base::failure_of(answer)) {
+            this->parts.known.relayed_until = base::time_point::min();
+            if (*failure == registry_failure::history_lost) {
+                return std::nullopt;
+            }
+            // The registry has the same positions, so nothing is lost by asking it instead.
+            this->parts.log.write(telemetry::log_level::info, "followed host has no changes",
+                                  {telemetry::field::peer(relay->host),
+                                   {"malformed", *failure == registry_failure::malformed}});
+            this->parts.known.relays.note_failure(relay->host, base::monotonic_clock::now());
+            return this->follow_registry(position);
+        }
+        auto const& news = base::value_of(answer);
+        this->parts.known.relayed_until =
+            base::monotonic_clock::now() + follow_timing::peer_wait + follow_timing::peer_patience;
+        this->on_configuration(news.configuration);
+        this->take(news.upstreams);
+        return news.upstreams.position;
+    }
+
+    auto ask_relay(host_entry const& relay, registry_position position) const -> changes_answer {
+        auto const configuration = this->parts.known.routes.current();
+        auto const version =
+            configuration ? configuration->version : routing::configuration_version{};
+        auto request = runtime::http_request{"POST", "/upstream-changes", {}, {}};
+        request.body = encode(changes_question{position, follow_timing::peer_wait, version});
+        auto const answered = runtime::fetch(
+            *relay.peers, request, runtime::connection_use::pooled,
+            base::monotonic_clock::now() + follow_timing::peer_wait + follow_timing::peer_patience);
+        auto const* const response = std::get_if<runtime::http_response>(&answered);
+        if (response == nullptr || response->status != 200) {
+            return registry_failure::unavailable;
+        }
+        return decode_answer(response->body);
+    }
+
+    auto note_source(std::optional<host_entry> const& relay) -> void {
+        auto const now_followed = relay ? relay->host : base::host_id{};
+        if (now_followed == this->followed) {
+            return;
+        }
+        this->followed = now_followed;
+        if (relay) {
+            this->parts.log.write(telemetry::log_level::info, "changes come from a host",
+                                  {telemetry::field::peer(relay->host)});
+        } else {
+            this->parts.log.write(telemetry::log_level::info, "changes come from the registry", {});
+        }
+    }
+
+    auto follow_registry(registry_position position) -> std::optional<registry_position> {
         auto const asked_at = base::monotonic_clock::now();
         auto const changes = this->registry.await_upstreams(
             position, follow_timing::wait,
@@ -211,9 +305,11 @@
             if (*failure != registry_failure::history_lost) {
                 this->parts.known.upstreams.note_outage();
             }
+            this->parts.known.feed.withdraw();
             return std::nullopt;
         }
         this->take(base::value_of(changes));
+        this->parts.known.feed.publish(base::value_of(changes));
         runtime::sleep_until(base::monotonic_clock::now() + follow_timing::gather);
         return base::value_of(changes).position;
     }
@@ -288,8 +384,11 @@
 
     Registry& registry;
     host_parts const& parts;
+    configuration_hook on_configuration;
     registry_watchdog watchdog;
     retry_pause pause;
+    // The host that changes come from; empty for the registry.
+    base::host_id followed;
 };
 
 }  // namespace linnetlane::router
--- a/linnetlane/router/settings.cpp
+++ b/linnetlane/router/settings.cpp
@@ -60,6 +60,9 @@
     reader.read_table("listen", [&](toml_reader& listen) {
         listen.require("callers", target.listen.callers);
         listen.require("operators", target.listen.operators);
+        if (auto peers = base::endpoint{}; listen.read("peers", peers)) {
+            target.listen.peers = peers;
+        }
     });
     reader.expect("coordination");
     reader.read_table("coordination", [&](toml_reader& coordination) {
--- a/linnetlane/router/settings.h
+++ b/linnetlane/router/settings.h
@@ -4,6 +4,7 @@
 #define LINNETLANE_ROUTER_SETTINGS_H_
 
 #include <chrono>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -25,6 +26,9 @@
     base::endpoint callers;
     // HTTP from operators: readiness and metrics.
     base::endpoint operators;
+    // Hosts of the same data centre, which read the registry through each other; without it, each
+    // host reads for itself.
+    std::optional<base::endpoint> peers;
 };
 
 // How the host leaves after SIGTERM.
--- a/linnetlane/routing/configuration.h
+++ b/linnetlane/routing/configuration.h
@@ -40,6 +40,7 @@
     base::service_id service;
     // Relative to the other weights of the route.
     double weight = 1;
+    friend auto operator==(weighted_service const&, weighted_service const&) -> bool = default;
 };
 
 struct route {
@@ -63,6 +64,7 @@
     int priority = 0;
     // Upstreams that one request may be run on.
     std::size_t most_attempts = 1;
+    friend auto operator==(route const&, route const&) -> bool = default;
 };
 
 // What the engines of a service share.
@@ -76,6 +78,7 @@
     base::duration result_kept{};
     // How long an engine takes to change from prefill to decode or back.
     base::duration stage_switch{};
+    friend auto operator==(engine_shape const&, engine_shape const&) -> bool = default;
 };
 
 struct service {
@@ -83,6 +86,7 @@
     // Connections that one of its upstreams takes, from all hosts together.
     std::size_t most_connections = 0;
     std::optional<engine_shape> engine;
+    friend auto operator==(service const&, service const&) -> bool = default;
 };
 
 // Bounds on what a caller may send.
@@ -93,6 +97,7 @@
     base::duration request_arrival = std::chrono::seconds{3};
     // Between requests on a kept connection.
     base::duration idle = std::chrono::seconds{15};
+    friend auto operator==(caller_limits const&, caller_limits const&) -> bool = default;
 };
 
 struct configuration {
@@ -100,6 +105,7 @@
     std::vector<route> routes;
     std::map<base::service_id, service> services;
     caller_limits limits;
+    friend auto operator==(configuration const&, configuration const&) -> bool = default;
 };
 
 // The newest configuration seen, ready for matching. Belongs to one worker. Routes that were handed
