Engines: a later process at an address takes the earlier one's place, prompts are read near their engine

The engines had crashed and come back under other ids; the old records stayed listed for 1.3 s after the new ones came, and a reservation at the old id was granted by the new process, since engines check the expected process only where something runs.

Ruled out: lapsed reservations (status 421, not 503); wrong stages (records said decode throughout).

Change: of two records with one address the one that started later counts; an engine that answers as another process is asked last for two seconds; among prefill engines that are nearly as good, one in the data centre of the decode engine is taken. Log lines of failed steps name the status and the prefill engine.

--- a/linnetlane/router/generation_forward.h
+++ b/linnetlane/router/generation_forward.h
@@ -84,7 +84,7 @@
     }
 
     auto serve_at(place const& reserved) -> try_result {
-        auto const source = this->prefill();
+        auto const source = this->prefill(reserved.engine.id);
         if (!source) {
             this->release(reserved);
             return this->prefill_failure;
@@ -183,14 +183,14 @@
 
     // ---- The prefill ----
 
-    auto prefill() -> std::optional<prefill_location> {
+    auto prefill(base::upstream_id const& destination) -> std::optional<prefill_location> {
         auto tried = std::set<base::upstream_id>{};
         this->prefill_failure = try_result::unreachable;
         for (;;) {
             auto const now = base::monotonic_clock::now();
             auto& known = this->context.parts.known;
-            auto const id =
-                this->context.state().generation.prefill_candidate(tried, known.draw(), now);
+            auto const id = this->context.state().generation.prefill_candidate(tried, destination,
+                                                                               known.draw(), now);
             auto const* const record = id ? known.upstreams.find(*id) : nullptr;
             if (record == nullptr || !this->may_prefill(now)) {
                 return std::nullopt;
@@ -236,7 +236,7 @@
             this->context.parts.metrics.count_prefill(this->prompt());
             this->prefilled_at = engine.id;
         } else {
-            this->log_step(engine.id, "prefill failed");
+            this->log_step(engine.id, "prefill failed", this->prefill_status);
         }
         return made;
     }
@@ -246,6 +246,7 @@
         auto& pool = this->context.state().generation;
         auto const now = base::monotonic_clock::now();
         auto* const opened = std::get_if<opened_answer>(&result);
+        this->prefill_status = opened == nullptr ? 0 : opened->head.status;
         if (opened == nullptr) {
             if (!this->context.cancelled.cancelled()) {
                 pool.note_outcome(engine.id, routing::exchange_outcome::transport_failure, now);
@@ -258,7 +259,9 @@
         auto const body = opened->stream.read_all(plain_answer_bytes, deadline);
         auto const whole = base::failure_of(body) == nullptr && opened->head.status == 200;
         auto const made = whole ? Wire::read_prefill_result(base::value_of(body)) : std::nullopt;
-        if (opened->head.not_run) {
+        if (opened->head.other_instance) {
+            pool.note_replaced(engine.id, now);
+        } else if (opened->head.not_run) {
             pool.note_full(engine.id, now);
         } else {
             pool.note_outcome(engine.id,
@@ -328,10 +331,13 @@
         if (opened.head.load) {
             pool.note_load(reserved.engine.id, *opened.head.load, now);
         }
+        if (opened.head.other_instance) {
+            pool.note_replaced(reserved.engine.id, now);
+        }
         if (opened.head.not_run) {
             this->release(reserved);
             this->discard(source);
-            this->log_step(reserved.engine.id, "decode refused");
+            this->log_step(reserved.engine.id, "decode refused", opened.head.status);
             return try_result::try_again;
         }
         this->ran = true;
@@ -341,7 +347,7 @@
             return this->pass_stream(reserved, opened);
         }
         pool.note_outcome(reserved.engine.id, routing::exchange_outcome::failed_answer, now);
-        this->log_step(reserved.engine.id, "decode failed");
+        this->log_step(reserved.engine.id, "decode failed", opened.head.status);
         if (this->relay.started()) {
             return try_result::broke_off;
         }
@@ -433,13 +439,17 @@
         return refuse<Wire>(this->context, refused);
     }
 
-    auto log_step(base::upstream_id const& engine, telemetry::literal what) const -> void {
+    // `status` is that of the engine's answer, 0 without one.
+    auto log_step(base::upstream_id const& engine, telemetry::literal what, int status = 0) const
+        -> void {
         this->context.parts.log.write(
             telemetry::log_level::info, "step of a generation failed",
             {this->context.caller.id,
              this->context.service,
              engine,
              {"what", what},
+             {"status", static_cast<std::int64_t>(status)},
+             telemetry::field::named("prefilled_at", this->prefilled_at),
              {"age", base::monotonic_clock::now() - this->context.arrived}});
     }
 
@@ -469,6 +479,8 @@
     std::size_t runs = 0;
     bool ran = false;
     int passed_status = 0;
+    // Of the last prefill's answer; 0 without one.
+    int prefill_status = 0;
     base::upstream_id prefilled_at;
     base::upstream_id decoded_at;
     try_result reservation_failure = try_result::no_room;
--- a/linnetlane/router/registry_follower.h
+++ b/linnetlane/router/registry_follower.h
@@ -342,6 +342,10 @@
     }
 
     auto note_change(routing::upstream_record const& record) -> void {
+        if (auto const* const ended = this->parts.known.upstreams.superseded_by(record)) {
+            this->parts.log.write(telemetry::log_level::info, "upstream gone",
+                                  {ended->id, telemetry::field::named("superseded_by", record.id)});
+        }
         auto const* const known = this->parts.known.upstreams.find(record.id);
         auto const restarted = known != nullptr && (known->started != record.started ||
                                                     known->address != record.address);
--- a/linnetlane/routing/generation_pool.cpp
+++ b/linnetlane/routing/generation_pool.cpp
@@ -11,6 +11,9 @@
 constexpr auto newest_weight = 0.05;
 // Spread of the random part that keeps hosts with the same view from one choice, in usual requests.
 constexpr auto draw_spread = 0.5;
+// What a move of a result to another data centre weighs, in usual prompts that are read first:
+// about 50 ms of a target of several hundred.
+constexpr auto distance = 0.5;
 
 // A different number from [0, 1) for each `index`.
 auto turned(double draw, std::size_t index) -> double {
@@ -75,9 +78,11 @@
     return chosen;
 }
 
-auto generation_pool::prefill_candidate(std::set<base::upstream_id> const& tried, double draw,
+auto generation_pool::prefill_candidate(std::set<base::upstream_id> const& tried,
+                                        base::upstream_id const& destination, double draw,
                                         base::time_point now) const
     -> std::optional<base::upstream_id> {
+    auto const goes_to = this->members.find(destination);
     using ranked = std::tuple<bool, bool, double, base::upstream_id>;
     auto best = std::optional<ranked>{};
     auto index = std::size_t{0};
@@ -86,8 +91,10 @@
         if (one.leaving || one.stage != engine_stage::prefill || tried.contains(id)) {
             continue;
         }
-        auto const cost =
-            this->load_of(one, now) + draw_spread * this->usual_tokens * turned(draw, index);
+        auto const is_near =
+            goes_to != this->members.end() && goes_to->second.data_centre == one.data_centre;
+        auto const spread = draw_spread * turned(draw, index) + (is_near ? 0 : distance);
+        auto const cost = this->load_of(one, now) + spread * this->usual_tokens;
         auto const candidate = ranked{this->doubtful(one, now), now < one.full_until, cost, id};
         if (!best || candidate < *best) {
             best = candidate;
@@ -103,6 +110,12 @@
     }
 }
 
+auto generation_pool::note_replaced(base::upstream_id const& id, base::time_point now) -> void {
+    if (auto const found = this->members.find(id); found != this->members.end()) {
+        found->second.full_until = now + replaced_for;
+    }
+}
+
 auto generation_pool::begin(base::upstream_id const& id, base::token_count tokens) -> void {
     auto const sample = static_cast<double>(tokens.value);
     this->usual_tokens = this->usual_tokens == 0
--- a/linnetlane/routing/generation_pool.h
+++ b/linnetlane/routing/generation_pool.h
@@ -50,6 +50,9 @@
     static constexpr auto usual_share_of_bound = 0.48;
     // How long an engine that had no room is asked last.
     static constexpr auto full_for = std::chrono::milliseconds{150};
+    // How long an engine is asked last whose address another process has, or that has another
+    // stage: the registry tells within a heartbeat or two.
+    static constexpr auto replaced_for = std::chrono::seconds{2};
     // After this, what an engine said of its load is too old to be of use.
     static constexpr auto load_report_validity = std::chrono::milliseconds{800};
 
@@ -62,13 +65,17 @@
     // Decode engines to ask for a place, the most promising first, at most `most`.
     [[nodiscard]] auto decode_candidates(std::size_t most, double draw, base::time_point now) const
         -> std::vector<base::upstream_id>;
-    // The prefill engine outside of `tried` where a prompt is read soonest.
-    [[nodiscard]] auto prefill_candidate(std::set<base::upstream_id> const& tried, double draw,
+    // The prefill engine outside of `tried` where a prompt is read soonest; one in the data centre
+    // of `destination`, to which the result goes, if it is nearly as good.
+    [[nodiscard]] auto prefill_candidate(std::set<base::upstream_id> const& tried,
+                                         base::upstream_id const& destination, double draw,
                                          base::time_point now) const
         -> std::optional<base::upstream_id>;
 
     // An engine had no room for a reservation, or refused a prefill.
     auto note_full(base::upstream_id const& id, base::time_point now) -> void;
+    // Another process answered at its address, or one of another stage.
+    auto note_replaced(base::upstream_id const& id, base::time_point now) -> void;
     // Work of `tokens` begins and ends at an engine.
     auto begin(base::upstream_id const& id, base::token_count tokens) -> void;
     auto end(base::upstream_id const& id, base::token_count tokens) -> void;
--- a/linnetlane/routing/pools_test.cpp
+++ b/linnetlane/routing/pools_test.cpp
@@ -161,9 +161,36 @@
     pool.set_members(make_engines(2, 1));
     // The other one is busy, so that the refusing one looks best.
     pool.begin(base::upstream_id{"e1"}, base::token_count{50'000});
-    BOOST_TEST(pool.prefill_candidate({}, 0.5, start)->value == "e0");
+    BOOST_TEST(pool.prefill_candidate({}, {}, 0.5, start)->value == "e0");
     pool.note_full(base::upstream_id{"e0"}, start);
-    BOOST_TEST(pool.prefill_candidate({}, 0.5, start)->value == "e1");
+    BOOST_TEST(pool.prefill_candidate({}, {}, 0.5, start)->value == "e1");
+}
+
+BOOST_AUTO_TEST_CASE(an_engine_whose_address_another_process_has_is_asked_last) {
+    auto ways = data_centre_reach{};
+    auto pool = generation_pool{ways};
+    pool.set_members(make_engines(0, 3));
+    pool.begin(base::upstream_id{"e1"}, base::token_count{10'000});
+    pool.begin(base::upstream_id{"e2"}, base::token_count{10'000});
+    pool.note_replaced(base::upstream_id{"e0"}, start);
+    BOOST_TEST(pool.decode_candidates(3, 0.3, start + std::chrono::seconds{1}).back().value ==
+               "e0");
+    auto const later = start + generation_pool::replaced_for;
+    BOOST_TEST(pool.decode_candidates(3, 0.3, later).front().value == "e0");
+}
+
+BOOST_AUTO_TEST_CASE(a_prompt_is_read_near_the_engine_that_decodes_it_unless_that_takes_longer) {
+    auto ways = data_centre_reach{};
+    auto pool = generation_pool{ways};
+    // Prefill engines in the first four data centres, decode engines in the same ones.
+    pool.set_members(make_engines(4, 4));
+    pool.begin(base::upstream_id{"e0"}, base::token_count{5'000});
+    pool.end(base::upstream_id{"e0"}, base::token_count{5'000});
+    for (auto draw = 0.0; draw < 1; draw += 0.1) {
+        BOOST_TEST(pool.prefill_candidate({}, base::upstream_id{"e6"}, draw, start)->value == "e2");
+    }
+    pool.begin(base::upstream_id{"e2"}, base::token_count{10'000});
+    BOOST_TEST(pool.prefill_candidate({}, base::upstream_id{"e6"}, 0.5, start)->value != "e2");
 }
 
 BOOST_AUTO_TEST_CASE(one_zone_alone_asks_its_own_engines_first_after_one_silence) {
--- a/linnetlane/routing/upstream_set.cpp
+++ b/linnetlane/routing/upstream_set.cpp
@@ -1,5 +1,6 @@
 #include "linnetlane/routing/upstream_set.h"
 
+#include <algorithm>
 #include <set>
 
 namespace linnetlane::routing {
@@ -40,6 +41,19 @@
 }
 
 auto upstream_set::put(upstream_record const& record) -> record_change {
+    if (auto const* const ended = this->superseded_by(record)) {
+        auto const id = ended->id;
+        this->drop_at.erase(id);
+        this->records.erase(id);
+    }
+    auto const outdated = std::ranges::any_of(this->records, [&](auto const& entry) {
+        auto const& other = entry.second;
+        return other.id != record.id && other.address == record.address &&
+               other.started > record.started;
+    });
+    if (outdated) {
+        return record_change::ignored;
+    }
     this->drop_at.erase(record.id);
     auto const [place, added] = this->records.try_emplace(record.id, record);
     if (added) {
@@ -54,6 +68,15 @@
     return restarted ? record_change::restarted : record_change::updated;
 }
 
+auto upstream_set::superseded_by(upstream_record const& record) const -> upstream_record const* {
+    for (auto const& [id, other] : this->records) {
+        if (id != record.id && other.address == record.address && other.started < record.started) {
+            return &other;
+        }
+    }
+    return nullptr;
+}
+
 auto upstream_set::remove(base::upstream_id const& id, base::time_point now) -> bool {
     auto const found = this->records.find(id);
     if (found == this->records.end()) {
--- a/linnetlane/routing/upstream_set.h
+++ b/linnetlane/routing/upstream_set.h
@@ -6,6 +6,9 @@
 //   known.remove(id, now);
 //   known.expire(now);
 //
+// The record of a process that ended stays listed for seconds. It is dropped as soon as a process
+// that started later registers with the same address.
+//
 // A record that is missing right after the registry was away is kept for a while: live upstreams
 // need some time to register again. Leaving takes effect at once.
 
@@ -46,7 +49,7 @@
 };
 
 // How a record differs from what was known.
-enum class record_change { none, added, restarted, updated };
+enum class record_change { none, added, restarted, updated, ignored };
 
 // How long a missing record is kept after the registry came back: upstreams register again within
 // two seconds of that, plus one of their heartbeats' jitter.
@@ -62,7 +65,10 @@
     // Takes a full listing; returns those that are gone.
     auto replace_all(std::vector<upstream_record> const& listed, base::time_point now)
         -> std::vector<base::upstream_id>;
+    // `record` is ignored if a process that started later has its address.
     auto put(upstream_record const& record) -> record_change;
+    // The record with the address of `record` whose process has ended, if `record` is right.
+    [[nodiscard]] auto superseded_by(upstream_record const& record) const -> upstream_record const*;
     // The record is gone; whether the upstream is now, too.
     auto remove(base::upstream_id const& id, base::time_point now) -> bool;
     // Drops records whose grace is over, and returns them.
--- a/linnetlane/routing/upstream_set_test.cpp
+++ b/linnetlane/routing/upstream_set_test.cpp
@@ -23,6 +23,23 @@
     BOOST_TEST(set.replace_all({}, start).size() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(a_process_that_started_later_takes_the_place_of_the_one_at_its_address) {
+    auto crashed = make_record("crashed");
+    crashed.started.value = 1000;
+    auto restarted = make_record("restarted");
+    restarted.started.value = 2000;
+    auto set = upstream_set{};
+    set.replace_all({crashed}, start);
+    BOOST_TEST(set.superseded_by(restarted)->id.value == "crashed");
+    set.put(restarted);
+    BOOST_TEST(set.find(base::upstream_id{"crashed"}) == nullptr);
+    // The ended process is still listed.
+    BOOST_TEST((set.put(crashed) == record_change::ignored));
+    set.replace_all({crashed, restarted}, start);
+    BOOST_TEST(set.all().size() == 1U);
+    BOOST_TEST(set.find(base::upstream_id{"restarted"}) != nullptr);
+}
+
 BOOST_AUTO_TEST_CASE(records_missing_after_an_outage_are_kept_until_upstreams_had_time_to_return) {
     auto set = upstream_set{};
     set.replace_all({make_record("back"), make_record("lost")}, start);
