Tests: the fixture of the router ends its pool before its servers go

A handler of the store's stand-in that waits for changes went on after the stand-in was gone, until the pool ended.

Change: the pool ends first.

--- a/linnetlane/standin/server_test_support.h
+++ b/linnetlane/standin/server_test_support.h
@@ -61,9 +61,15 @@
     auto operator=(pool_fixture const&) -> pool_fixture& = delete;
     pool_fixture(pool_fixture&&) = delete;
     auto operator=(pool_fixture&&) -> pool_fixture& = delete;
-    ~pool_fixture() {
-        this->pool.stop();
-        this->pool.join();
+    ~pool_fixture() { this->end_pool(); }
+
+    // Ends the pool's fibers. A fixture whose servers have handlers that wait calls this before its
+    // servers go, since their handlers would go on without them.
+    auto end_pool() -> void {
+        if (!std::exchange(this->pool_ended, true)) {
+            this->pool.stop();
+            this->pool.join();
+        }
     }
 
     // Runs `body` in a fiber and waits for it.
@@ -80,6 +86,9 @@
         });
         done.get_future().get();
     }
+
+private:
+    bool pool_ended = false;
 };
 
 }  // namespace linnetlane::standin
