--- a/linnetlane/router/host.h
+++ b/linnetlane/router/host.h
@@ -29,8 +29,9 @@
 public:
     // After SIGTERM the balancer needs two checks, a second apart, to send no more connections.
     static constexpr auto balancer_notice = std::chrono::milliseconds{2600};
-    // New requests are answered for this long after SIGTERM; later ones might not end in time.
-    static constexpr auto accepts_for = std::chrono::milliseconds{3200};
+    // New requests are answered for this long after SIGTERM; the platform expects those that come
+    // within three seconds to be answered, and later ones might not end in time.
+    static constexpr auto accepts_for = std::chrono::milliseconds{2900};
     // Before the end of the grace time, for the process to end by itself.
     static constexpr auto exit_margin = std::chrono::milliseconds{800};
     static constexpr auto idle_check = std::chrono::milliseconds{100};
--- a/linnetlane/router/peer_codec.cpp
+++ b/linnetlane/router/peer_codec.cpp
@@ -11,7 +11,7 @@
 #include <thrift/protocol/TCompactProtocol.h>
 #include <thrift/transport/TBufferTransports.h>
 
-#include "linnetlane/router/generated/peer_types.h"
+#include "linnetlane/protocol/generated/router_types.h"
 
 namespace linnetlane::router {
 
@@ -294,7 +294,7 @@
         changes.put.push_back(std::move(*record));
     }
     for (auto& id : in->removed) {
-        changes.removed.emplace_back(std::move(id));
+        changes.removed.push_back(base::upstream_id{std::move(id)});
     }
     if (in->__isset.newer_configuration) {
         news.configuration = std::make_shared<routing::configuration const>(
