Hosts that follow a neighbour remember its changes for their own followers

Cause, found on reading the diff: a host kept only the changes that it read from the registry itself. One that followed a neighbour for a while and then read the registry again had a gap, and a follower with an older position was answered without the changes in it.

Ruled out: positions of followers that are ahead of the host (tested before).

Change: changes from a neighbour are kept as well; nobody may rely on them until the registry is read again. The property test alternates between both sources and failed without it (after 22 tests).

--- a/linnetlane/router/peers_test.cpp
+++ b/linnetlane/router/peers_test.cpp
@@ -173,8 +173,11 @@
             at.value += *rc::gen::inRange<std::uint64_t>(1, 5);
             auto const changes = any_changes(at);
             apply(registry, changes);
-            feed.publish(changes);
-            if (*rc::gen::inRange(0, 3) == 0) {
+            // The host follows a neighbour itself now and then.
+            auto const source = *rc::gen::element(changes_from::registry, changes_from::neighbour);
+            feed.publish(changes, source);
+            RC_ASSERT(feed.vouched(past) == (source == changes_from::registry));
+            if (source == changes_from::registry && *rc::gen::inRange(0, 3) == 0) {
                 auto const answer = feed.await(ask_after(position), past);
                 RC_ASSERT(base::succeeded(answer));
                 apply(followed, base::value_of(answer).upstreams);
@@ -215,7 +218,9 @@
     BOOST_TEST(!refuses());
     feed.withdraw();
     BOOST_TEST(refuses());
-    feed.publish(upstream_changes{{}, {}, {11}});
+    feed.publish(upstream_changes{{}, {}, {11}}, changes_from::neighbour);
+    BOOST_TEST(refuses());
+    feed.publish(upstream_changes{{}, {}, {12}}, changes_from::registry);
     BOOST_TEST(!refuses());
     feed.set_reads_configuration(false);
     BOOST_TEST(refuses());
--- a/linnetlane/router/registry_feed.cpp
+++ b/linnetlane/router/registry_feed.cpp
@@ -34,8 +34,8 @@
     this->changed.notify_all();
 }
 
-auto registry_feed::publish(upstream_changes const& changes) -> void {
-    this->reading = true;
+auto registry_feed::publish(upstream_changes const& changes, changes_from source) -> void {
+    this->reading = source == changes_from::registry;
     this->newest = changes.position;
     if (changes.put.empty() && changes.removed.empty()) {
         return;
--- a/linnetlane/router/registry_feed.h
+++ b/linnetlane/router/registry_feed.h
@@ -2,7 +2,7 @@
 // registry themselves: changes of the upstreams, and the configuration.
 //
 //   feed.restart(listing.position);               // after a full read
-//   feed.publish(changes);                        // after each read of changes
+//   feed.publish(changes, changes_from::registry);   // after each read of changes
 //   feed.vouch(now + 1s);                         // the registry has just answered
 //   auto const answer = feed.await(question, deadline);
 
@@ -23,6 +23,9 @@
 
 namespace linnetlane::router {
 
+// Where a host read changes.
+enum class changes_from { registry, neighbour };
+
 // Belongs to one worker.
 class registry_feed {
 public:
@@ -33,7 +36,9 @@
 
     // Everything up to `at` was read; older changes are not known.
     auto restart(registry_position at) -> void;
-    auto publish(upstream_changes const& changes) -> void;
+    // Also for changes from a neighbour, on which nobody may rely at that time: a host that reads
+    // the registry again later has to know everything since its last full read.
+    auto publish(upstream_changes const& changes, changes_from source) -> void;
     auto publish(std::shared_ptr<routing::configuration const> offered) -> void;
     // Whether the configuration is read from the registry, without a failure since.
     auto set_reads_configuration(bool reads) -> void;
--- a/linnetlane/router/registry_follower.h
+++ b/linnetlane/router/registry_follower.h
@@ -263,6 +263,7 @@
             base::monotonic_clock::now() + follow_timing::peer_wait + follow_timing::peer_patience;
         this->on_configuration(news.configuration);
         this->take(news.upstreams);
+        this->parts.known.feed.publish(news.upstreams, changes_from::neighbour);
         return news.upstreams.position;
     }
 
@@ -309,7 +310,7 @@
             return std::nullopt;
         }
         this->take(base::value_of(changes));
-        this->parts.known.feed.publish(base::value_of(changes));
+        this->parts.known.feed.publish(base::value_of(changes), changes_from::registry);
         runtime::sleep_until(base::monotonic_clock::now() + follow_timing::gather);
         return base::value_of(changes).position;
     }
