One copy of what the pools, the codecs and the readers of changes share

- Both codecs between hosts wrote Thrift's compact bytes by themselves: protocol/compact_bytes.h.
- The registry adapter and the feed both kept only the last change of an upstream: upstream_changes::note_put and note_removed.
- Both pools kept the load of other hosts, the failed share of an upstream's peers, a moving mean and what an exchange says of a data centre: load_of_others, failed_share_of_others, move_mean, data_centre_reach::note.
- Three tests of the plain pool repeated one loop; their assertions are unchanged.
- Dead: generation_pool::count, upstream_health::rest_ends, the failed flag of a request on its way, the position set by each merge and overwritten after it.

--- a/linnetlane/protocol/codec.cpp
+++ b/linnetlane/protocol/codec.cpp
@@ -1,52 +1,33 @@
 #include "linnetlane/protocol/codec.h"
 
-#include <memory>
+#include <new>
 
 #include <thrift/Thrift.h>
-#include <thrift/protocol/TCompactProtocol.h>
-#include <thrift/transport/TBufferTransports.h>
 
+#include "linnetlane/protocol/compact_bytes.h"
 #include "linnetlane/protocol/wire_access.h"
 
 namespace linnetlane::protocol {
 
 namespace {
 
-using apache::thrift::protocol::TCompactProtocolT;
-using apache::thrift::transport::TMemoryBuffer;
-using compact_protocol = TCompactProtocolT<TMemoryBuffer>;
-
 constexpr auto bits_per_byte = 8U;
 constexpr auto byte_mask = std::size_t{0xFF};
 // The most strings and lists in a frame may announce; more can't be in a frame that is taken.
 constexpr auto most_items = std::int32_t{1'000'000};
-
-// Reads `frame`; throws Thrift's exceptions.
-auto read_frame(std::string_view frame) -> wire::envelope {
-    // Observed only: Thrift doesn't write to it.
-    auto* const bytes = reinterpret_cast<std::uint8_t*>(const_cast<char*>(frame.data()));
-    auto const buffer =
-        std::make_shared<TMemoryBuffer>(bytes, static_cast<std::uint32_t>(frame.size()));
-    auto protocol =
-        compact_protocol(buffer, static_cast<std::int32_t>(most_frame_bytes), most_items);
-    auto message = wire::envelope{};
-    message.read(&protocol);
-    return message;
-}
+constexpr auto frame_bounds =
+    compact_bounds{static_cast<std::int32_t>(most_frame_bytes), most_items};
 
 }  // namespace
 
 auto encode(envelope const& message, base::time_point now) -> std::string {
-    auto const buffer = std::make_shared<TMemoryBuffer>();
-    auto protocol = compact_protocol(buffer);
-    to_wire(message, now).write(&protocol);
-    return buffer->getBufferAsString();
+    return write_compact(to_wire(message, now));
 }
 
 auto decode(std::string_view frame, base::time_point now)
     -> base::result<envelope, decode_failure> {
     try {
-        return from_wire(read_frame(frame), now);
+        return from_wire(read_compact<wire::envelope>(frame, frame_bounds), now);
     } catch (apache::thrift::TException const&) {
         return decode_failure::malformed;
     } catch (std::bad_alloc const&) {
--- a/linnetlane/protocol/to_wire.cpp
+++ b/linnetlane/protocol/to_wire.cpp
@@ -1,16 +1,13 @@
 #include <chrono>
 #include <utility>
 
+#include "linnetlane/protocol/compact_bytes.h"
 #include "linnetlane/protocol/wire_access.h"
 
 namespace linnetlane::protocol {
 
 namespace {
 
-auto microseconds_of(base::duration span) -> std::int64_t {
-    return std::chrono::duration_cast<std::chrono::microseconds>(span).count();
-}
-
 // Fills the parts of a frame; holds the time at which the frame is made.
 class writer {
 public:
--- a/linnetlane/router/messages.h
+++ b/linnetlane/router/messages.h
@@ -11,6 +11,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "linnetlane/base/endpoint.h"
@@ -187,6 +188,21 @@
     std::vector<routing::upstream_record> put;
     std::vector<base::upstream_id> removed;
     registry_position position;
+
+    // Adds a later change: only the last one of an upstream counts.
+    auto note_put(routing::upstream_record record) -> void {
+        this->forget(record.id);
+        this->put.push_back(std::move(record));
+    }
+    auto note_removed(base::upstream_id const& id) -> void {
+        this->forget(id);
+        this->removed.push_back(id);
+    }
+    // Drops what was noted of an upstream.
+    auto forget(base::upstream_id const& id) -> void {
+        std::erase_if(this->put, [&](auto const& record) { return record.id == id; });
+        std::erase(this->removed, id);
+    }
 };
 
 struct granted_lease {
--- a/linnetlane/router/peer_codec.cpp
+++ b/linnetlane/router/peer_codec.cpp
@@ -8,46 +8,27 @@
 #include <utility>
 
 #include <thrift/Thrift.h>
-#include <thrift/protocol/TCompactProtocol.h>
-#include <thrift/transport/TBufferTransports.h>
 
+#include "linnetlane/protocol/compact_bytes.h"
 #include "linnetlane/protocol/generated/router_types.h"
 
 namespace linnetlane::router {
 
 namespace {
 
-using apache::thrift::protocol::TCompactProtocolT;
-using apache::thrift::transport::TMemoryBuffer;
-using compact_protocol = TCompactProtocolT<TMemoryBuffer>;
+using protocol::microseconds_of;
 
-// Bounds on what a body may announce; a listing of thousands of upstreams stays below them.
-constexpr auto most_body_bytes = std::int32_t{4} * 1024 * 1024;
-constexpr auto most_items = std::int32_t{100'000};
+// A listing of thousands of upstreams stays below these bounds.
+constexpr auto body_bounds = protocol::compact_bounds{std::int32_t{4} * 1024 * 1024, 100'000};
 // A longer wait is none of ours.
 constexpr auto longest_wait = std::chrono::seconds{30};
 // Spans of a configuration are held to this, so that no deadline overflows.
 constexpr auto longest_span = std::chrono::hours{24 * 365};
 
-template <typename Message>
-auto write(Message const& message) -> std::string {
-    auto const buffer = std::make_shared<TMemoryBuffer>();
-    auto protocol = compact_protocol{buffer};
-    message.write(&protocol);
-    return buffer->getBufferAsString();
-}
-
 template <typename Message>
 auto read(std::string_view text) -> std::optional<Message> {
     try {
-        // Observed only: Thrift doesn't write to it.
-        auto* const bytes = reinterpret_cast<std::uint8_t*>(const_cast<char*>(text.data()));
-        auto const buffer =
-            std::make_shared<TMemoryBuffer>(bytes, static_cast<std::uint32_t>(text.size()));
-        auto protocol = compact_protocol{buffer, most_body_bytes, most_items};
-        auto message = Message{};
-        message.read(&protocol);
-        return message;
+        return protocol::read_compact<Message>(text, body_bounds);
     } catch (apache::thrift::TException const&) {
         return std::nullopt;
     } catch (std::bad_alloc const&) {
@@ -77,10 +58,6 @@
     return out;
 }
 
-auto microseconds_of(base::duration span) -> std::int64_t {
-    return std::chrono::duration_cast<std::chrono::microseconds>(span).count();
-}
-
 auto to_wire(routing::route const& route) -> peer_wire::route {
     auto out = peer_wire::route{};
     out.__set_name(route.name.value);
@@ -253,11 +230,11 @@
     out.__set_after(static_cast<std::int64_t>(question.after.value));
     out.__set_wait(microseconds_of(question.wait));
     out.__set_configuration_version(static_cast<std::int64_t>(question.configuration.value));
-    return write(out);
+    return protocol::write_compact(out);
 }
 
 auto encode(changes_answer const& answer) -> std::string {
-    return write(to_wire(answer));
+    return protocol::write_compact(to_wire(answer));
 }
 
 auto decode_question(std::string_view text) -> std::optional<changes_question> {
--- a/linnetlane/router/registry_feed.cpp
+++ b/linnetlane/router/registry_feed.cpp
@@ -5,27 +5,6 @@
 
 namespace linnetlane::router {
 
-namespace {
-
-// Adds `later` to `changes`: the last change of an upstream counts.
-auto merge(upstream_changes& changes, upstream_changes const& later) -> void {
-    auto const forget = [&](base::upstream_id const& id) {
-        std::erase_if(changes.put, [&](auto const& record) { return record.id == id; });
-        std::erase(changes.removed, id);
-    };
-    for (auto const& record : later.put) {
-        forget(record.id);
-        changes.put.push_back(record);
-    }
-    for (auto const& id : later.removed) {
-        forget(id);
-        changes.removed.push_back(id);
-    }
-    changes.position = later.position;
-}
-
-}  // namespace
-
 auto registry_feed::restart(registry_position at) -> void {
     this->kept.clear();
     this->begins = at;
@@ -92,14 +71,15 @@
     if (after < this->begins) {
         return std::nullopt;
     }
-    auto changes = upstream_changes{{}, {}, after};
+    // A host that has read more keeps its position.
+    auto changes = upstream_changes{{}, {}, std::max(after, this->newest)};
     for (auto const& each : this->kept) {
-        if (each.position > after) {
-            merge(changes, each);
+        if (each.position <= after) {
+            continue;
         }
+        std::ranges::for_each(each.put, [&](auto const& record) { changes.note_put(record); });
+        std::ranges::for_each(each.removed, [&](auto const& id) { changes.note_removed(id); });
     }
-    // A host that has read more keeps its position.
-    changes.position = std::max(after, this->newest);
     return changes;
 }
 
--- a/linnetlane/routing/data_centre_reach.h
+++ b/linnetlane/routing/data_centre_reach.h
@@ -11,6 +11,7 @@
 
 #include "linnetlane/base/ids.h"
 #include "linnetlane/base/time.h"
+#include "linnetlane/routing/upstream_health.h"
 
 namespace linnetlane::routing {
 
@@ -35,6 +36,15 @@
         one.answered_at = now;
         one.doubted_until = base::time_point::min();
     }
+    // An exchange with an upstream there ended.
+    auto note(base::data_centre_id const& where, exchange_outcome outcome, base::time_point now)
+        -> void {
+        if (outcome == exchange_outcome::transport_failure) {
+            this->note_silence(where, now);
+        } else if (outcome != exchange_outcome::abandoned) {
+            this->note_answer(where, now);
+        }
+    }
     // Whether upstreams elsewhere should be asked first.
     [[nodiscard]] auto doubted(base::data_centre_id const& where, base::time_point now) const
         -> bool {
--- a/linnetlane/routing/generation_pool.cpp
+++ b/linnetlane/routing/generation_pool.cpp
@@ -4,6 +4,8 @@
 #include <cmath>
 #include <tuple>
 
+#include "linnetlane/routing/moving_mean.h"
+
 namespace linnetlane::routing {
 
 namespace {
@@ -117,10 +119,7 @@
 }
 
 auto generation_pool::begin(base::upstream_id const& id, base::token_count tokens) -> void {
-    auto const sample = static_cast<double>(tokens.value);
-    this->usual_tokens = this->usual_tokens == 0
-                             ? sample
-                             : this->usual_tokens + newest_weight * (sample - this->usual_tokens);
+    move_mean(this->usual_tokens, static_cast<double>(tokens.value), newest_weight);
     if (auto const found = this->members.find(id); found != this->members.end()) {
         found->second.under_way += tokens;
         ++found->second.requests;
@@ -141,38 +140,19 @@
     if (found == this->members.end()) {
         return;
     }
-    auto sum = 0.0;
-    for (auto const& [other, one] : this->members) {
-        sum += other == id ? 0.0 : one.health.failed_share();
-    }
-    auto const peers = this->members.size() > 1 ? static_cast<double>(this->members.size() - 1) : 1;
-    if (outcome == exchange_outcome::transport_failure) {
-        this->reach->note_silence(found->second.data_centre, now);
-    } else {
-        this->reach->note_answer(found->second.data_centre, now);
-    }
-    found->second.health.note(outcome, sum / peers, now);
+    this->reach->note(found->second.data_centre, outcome, now);
+    found->second.health.note(outcome, failed_share_of_others(this->members, id), now);
 }
 
 auto generation_pool::note_load(base::upstream_id const& id, load_report const& load,
                                 base::time_point now) -> void {
     if (auto const found = this->members.find(id); found != this->members.end()) {
-        auto& one = found->second;
-        auto const all = load.running + load.waiting;
-        one.others = all > one.requests ? all - one.requests : 0;
-        one.others_valid_until = now + load_report_validity;
+        found->second.others.note(load, found->second.requests, now + load_report_validity);
     }
 }
 
-auto generation_pool::count(engine_stage stage) const -> std::size_t {
-    return static_cast<std::size_t>(std::ranges::count_if(this->members, [&](auto const& entry) {
-        return !entry.second.leaving && entry.second.stage == stage;
-    }));
-}
-
 auto generation_pool::load_of(member const& one, base::time_point now) const -> double {
-    auto const others =
-        now < one.others_valid_until ? static_cast<double>(one.others) * this->usual_tokens : 0.0;
+    auto const others = static_cast<double>(one.others.at(now)) * this->usual_tokens;
     return static_cast<double>(one.under_way.value) + others;
 }
 
--- a/linnetlane/routing/generation_pool.h
+++ b/linnetlane/routing/generation_pool.h
@@ -83,8 +83,6 @@
         -> void;
     auto note_load(base::upstream_id const& id, load_report const& load, base::time_point now)
         -> void;
-    // Engines of a stage that are registered and not leaving.
-    [[nodiscard]] auto count(engine_stage stage) const -> std::size_t;
 
 private:
     struct member {
@@ -94,8 +92,7 @@
         base::token_count under_way;
         std::size_t requests = 0;
         base::time_point full_until = base::time_point::min();
-        std::size_t others = 0;
-        base::time_point others_valid_until = base::time_point::min();
+        load_of_others others;
         upstream_health health;
     };
 
--- a/linnetlane/routing/plain_pool.cpp
+++ b/linnetlane/routing/plain_pool.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <limits>
 
+#include "linnetlane/routing/moving_mean.h"
+
 namespace linnetlane::routing {
 
 namespace {
@@ -12,10 +14,6 @@
 // Spread of the random part that keeps hosts with the same view from one choice.
 constexpr auto draw_spread = 0.05;
 
-auto learn(double& value, double sample, double weight) -> void {
-    value = value == 0 ? sample : value + weight * (sample - value);
-}
-
 }  // namespace
 
 auto plain_pool::set_members(std::vector<upstream_record> const& records) -> void {
@@ -70,17 +68,11 @@
     }
     auto& one = found->second;
     one.under_way -= std::min<std::size_t>(one.under_way, 1);
-    one.health.note(ending.outcome, this->failed_share_of_others(id), now);
-    if (ending.outcome == exchange_outcome::transport_failure) {
-        this->reach->note_silence(one.data_centre, now);
-    } else if (ending.outcome != exchange_outcome::abandoned) {
-        this->reach->note_answer(one.data_centre, now);
-    }
+    one.health.note(ending.outcome, failed_share_of_others(this->members, id), now);
+    this->reach->note(one.data_centre, ending.outcome, now);
     this->learn_time(one, ending);
     if (ending.load) {
-        auto const all = ending.load->running + ending.load->waiting;
-        one.others = all > one.under_way ? all - one.under_way : 0;
-        one.others_valid_until = now + load_report_validity;
+        one.others.note(*ending.load, one.under_way, now + load_report_validity);
     }
 }
 
@@ -90,16 +82,15 @@
     auto const slower = ending.outcome == exchange_outcome::abandoned &&
                         seconds > one.learned_seconds && seconds > this->usual_seconds;
     if (ending.outcome == exchange_outcome::answered || slower) {
-        learn(one.learned_seconds, seconds, newest_weight);
+        move_mean(one.learned_seconds, seconds, newest_weight);
     }
     if (ending.outcome == exchange_outcome::answered) {
-        learn(this->usual_seconds, seconds, newest_weight / 4);
+        move_mean(this->usual_seconds, seconds, newest_weight / 4);
     }
 }
 
 auto plain_pool::expected_seconds(member const& one, base::time_point now) const -> double {
-    auto const others = now < one.others_valid_until ? one.others : 0;
-    auto const load = static_cast<double>(one.under_way + others + 1);
+    auto const load = static_cast<double>(one.under_way + one.others.at(now) + 1);
     auto const slots = static_cast<double>(one.slots);
     auto const usual = this->usual_seconds > 0 ? this->usual_seconds : unlearned_seconds;
     auto const alone = one.learned_seconds > 0 ? one.learned_seconds : usual;
@@ -109,16 +100,4 @@
     return alone * (1 + crowding + queueing);
 }
 
-auto plain_pool::failed_share_of_others(base::upstream_id const& id) const -> double {
-    auto sum = 0.0;
-    auto count = 0;
-    for (auto const& [other, one] : this->members) {
-        if (other != id) {
-            sum += one.health.failed_share();
-            ++count;
-        }
-    }
-    return count == 0 ? 0 : sum / count;
-}
-
 }  // namespace linnetlane::routing
--- a/linnetlane/routing/plain_pool.h
+++ b/linnetlane/routing/plain_pool.h
@@ -61,15 +61,12 @@
         std::size_t under_way = 0;
         // Seconds for one request on an idle upstream.
         double learned_seconds = 0;
-        // Requests of other hosts, as of `others_valid_until`.
-        std::size_t others = 0;
-        base::time_point others_valid_until = base::time_point::min();
+        load_of_others others;
         upstream_health health;
     };
 
     auto learn_time(member& one, plain_ending const& ending) -> void;
     [[nodiscard]] auto expected_seconds(member const& one, base::time_point now) const -> double;
-    [[nodiscard]] auto failed_share_of_others(base::upstream_id const& id) const -> double;
 
     data_centre_reach* reach;
     std::map<base::upstream_id, member> members;
--- a/linnetlane/routing/pools_test.cpp
+++ b/linnetlane/routing/pools_test.cpp
@@ -44,57 +44,48 @@
     return plain_ending{exchange_outcome::answered, took, std::nullopt};
 }
 
-BOOST_AUTO_TEST_CASE(one_slow_plain_upstream_gets_few_requests) {
+// Sends 100 requests, 10 ms apart, to two upstreams that end them as `ending_at` says; how many
+// each got.
+template <typename Ending>
+auto sends_to(std::string const& one, std::string const& other, Ending ending_at)
+    -> std::map<std::string, int> {
     auto ways = data_centre_reach{};
     auto pool = plain_pool{ways};
-    pool.set_members({make_record("fast", "a", {}), make_record("slow", "a", {})});
+    pool.set_members({make_record(one, "a", {}), make_record(other, "a", {})});
     auto sent = std::map<std::string, int>{};
     for (auto count = 0; count < 100; ++count) {
         auto const now = start + std::chrono::milliseconds{10} * count;
         auto const id = pool.pick({}, count / 100.0, now).value();
         ++sent[id.value];
         pool.started(id);
-        pool.ended(id, plain_answer(std::chrono::milliseconds{id.value == "slow" ? 150 : 30}), now);
+        pool.ended(id, ending_at(id.value), now);
     }
+    return sent;
+}
+
+BOOST_AUTO_TEST_CASE(one_slow_plain_upstream_gets_few_requests) {
+    auto sent = sends_to("fast", "slow", [](std::string const& id) {
+        return plain_answer(std::chrono::milliseconds{id == "slow" ? 150 : 30});
+    });
     BOOST_TEST(sent["slow"] <= 5);
 }
 
 BOOST_AUTO_TEST_CASE(a_full_plain_upstream_that_rejects_at_once_is_not_taken_for_a_fast_one) {
-    auto ways = data_centre_reach{};
-    auto pool = plain_pool{ways};
-    pool.set_members({make_record("hung", "a", {}), make_record("sound", "a", {})});
-    auto sent = std::map<std::string, int>{};
-    for (auto count = 0; count < 100; ++count) {
-        auto const now = start + std::chrono::milliseconds{10} * count;
-        auto const id = pool.pick({}, count / 100.0, now).value();
-        ++sent[id.value];
-        pool.started(id);
-        auto const rejects = id.value == "hung";
-        pool.ended(
-            id,
-            {rejects ? exchange_outcome::rejected : exchange_outcome::answered,
-             std::chrono::milliseconds{rejects ? 2 : 60}, load_report{6, rejects ? 12U : 0U, 6}},
-            now);
-    }
+    auto sent = sends_to("hung", "sound", [](std::string const& id) {
+        auto const rejects = id == "hung";
+        return plain_ending{rejects ? exchange_outcome::rejected : exchange_outcome::answered,
+                            std::chrono::milliseconds{rejects ? 2 : 60},
+                            load_report{6, rejects ? 12U : 0U, 6}};
+    });
     BOOST_TEST(sent["hung"] <= 10);
 }
 
 BOOST_AUTO_TEST_CASE(a_plain_upstream_that_callers_leave_is_not_taken_for_a_fast_one) {
-    auto ways = data_centre_reach{};
-    auto pool = plain_pool{ways};
-    pool.set_members({make_record("hung", "a", {}), make_record("sound", "a", {})});
-    auto sent = std::map<std::string, int>{};
-    for (auto count = 0; count < 100; ++count) {
-        auto const now = start + std::chrono::milliseconds{10} * count;
-        auto const id = pool.pick({}, count / 100.0, now).value();
-        ++sent[id.value];
-        pool.started(id);
-        auto const hangs = id.value == "hung";
-        pool.ended(id,
-                   {hangs ? exchange_outcome::abandoned : exchange_outcome::answered,
-                    std::chrono::milliseconds{hangs ? 900 : 60}, std::nullopt},
-                   now);
-    }
+    auto sent = sends_to("hung", "sound", [](std::string const& id) {
+        auto const hangs = id == "hung";
+        return plain_ending{hangs ? exchange_outcome::abandoned : exchange_outcome::answered,
+                            std::chrono::milliseconds{hangs ? 900 : 60}, std::nullopt};
+    });
     BOOST_TEST(sent["hung"] <= 10);
 }
 
--- a/linnetlane/routing/upstream_health.h
+++ b/linnetlane/routing/upstream_health.h
@@ -8,6 +8,7 @@
 #ifndef LINNETLANE_ROUTING_UPSTREAM_HEALTH_H_
 #define LINNETLANE_ROUTING_UPSTREAM_HEALTH_H_
 
+#include "linnetlane/base/ids.h"
 #include "linnetlane/base/time.h"
 
 namespace linnetlane::routing {
@@ -45,8 +46,6 @@
     }
     // The share of failed answers, from 0 to 1.
     [[nodiscard]] auto failed_share() const -> double { return this->failed; }
-    // The end of its rest, in the past if it isn't rested.
-    [[nodiscard]] auto rest_ends() const -> base::time_point { return this->rested_until; }
 
 private:
     auto rest(base::time_point now) -> void;
@@ -58,6 +57,22 @@
     base::time_point rested_until = base::time_point::min();
 };
 
+// The mean share of failed answers of the others than `id` among `members`, which maps ids to
+// what has a `health`; 0 if there are none.
+template <typename Members>
+[[nodiscard]] auto failed_share_of_others(Members const& members, base::upstream_id const& id)
+    -> double {
+    auto sum = 0.0;
+    auto count = 0;
+    for (auto const& [other, one] : members) {
+        if (other != id) {
+            sum += one.health.failed_share();
+            ++count;
+        }
+    }
+    return count == 0 ? 0 : sum / count;
+}
+
 }  // namespace linnetlane::routing
 
 #endif  // LINNETLANE_ROUTING_UPSTREAM_HEALTH_H_
--- a/linnetlane/runtime/http_client.cpp
+++ b/linnetlane/runtime/http_client.cpp
@@ -182,15 +182,12 @@
     connection_pointer used;
     http::request<http::string_body> message;
     bool written = false;
-    bool failed = false;
 };
 
 auto start_write(std::shared_ptr<outgoing> const& sending) -> void {
-    http::async_write(sending->used->stream, sending->message,
-                      [sending](boost::system::error_code error, std::size_t) {
-                          sending->written = !error;
-                          sending->failed = static_cast<bool>(error);
-                      });
+    http::async_write(
+        sending->used->stream, sending->message,
+        [sending](boost::system::error_code error, std::size_t) { sending->written = !error; });
 }
 
 }  // namespace
