Router: one host of a data centre reads the registry and registers for the others

Cause: every host registered itself, renewed a lease every 2 s, listed the hosts every 6 s and, after each start or lost history, read all upstreams and the configuration from the store.

Change: only hosts that read the registry register. Followers get full listings, the number of hosts and the order of hosts to follow from the host that they follow; hosts with more processor come first. The next host in the order replaces a lost one; a host outside of the order reads the registry only as a last resort. A host that stops reading redirects its followers. Removed upstreams keep their grace period at followers, too. The number of hosts in the retry budget is that of the registered hosts and their followers.

--- a/linnetlane/protocol/router.thrift
+++ b/linnetlane/protocol/router.thrift
@@ -72,6 +72,15 @@
     4: caller_limits limits,
 }
 
+// A host that can be followed.
+struct host {
+    1: string name,
+    2: string address,
+    3: i32 port,
+    // In thousandths of a core.
+    4: i64 capacity,
+}
+
 // Requests the changes after a position in the registry.
 struct changes_question {
     1: i64 after,
@@ -79,6 +88,9 @@
     2: i64 wait,
     // Version of the sender's configuration; 0 for none.
     3: i64 configuration_version,
+    // Requests all upstreams; the position is ignored.
+    4: optional bool complete,
+    5: optional host sender,
 }
 
 enum outcome {
@@ -87,6 +99,8 @@
     unavailable = 1,
     // The changes after that position are no longer available.
     history_lost = 2,
+    // The receiver follows one of `relays` itself.
+    redirected = 3,
 }
 
 struct changes_answer {
@@ -96,4 +110,12 @@
     4: list<string> removed,
     // Present only if newer than the requester's.
     5: optional configuration newer_configuration,
+    // `put` holds all upstreams; others are gone.
+    6: optional bool complete,
+    // The number of hosts of all data centres.
+    7: optional i64 hosts,
+    // The hosts to follow, in this order, beginning with the sender.
+    8: optional list<host> relays,
+    // The registry was unavailable a moment ago, so removed upstreams may register again.
+    9: optional bool after_outage,
 }
--- a/linnetlane/router/host.h
+++ b/linnetlane/router/host.h
@@ -147,13 +147,41 @@
                             {});
             response.status = 400;
         } else {
-            auto const deadline = base::monotonic_clock::now() + question->wait;
-            response.body = encode(this->view.feed.await(*question, deadline));
+            response.body = encode(this->answer_follower(*question));
         }
         // If the peer has disconnected, it asks another host or the registry.
         static_cast<void>(responder.send(response));
     }
 
+    auto answer_follower(changes_question const& question) -> changes_answer {
+        auto const asked_at = base::monotonic_clock::now();
+        this->view.feed.note_follower(question.sender, asked_at);
+        auto answer = this->view.feed.await(question, asked_at + question.wait);
+        auto const now = base::monotonic_clock::now();
+        auto relays = this->view.relays.order_for_followers(now);
+        if (auto const* const failure = base::failure_of(answer)) {
+            auto const follows_another =
+                !this->view.reads_registry && !relays.empty() && !this->leaving;
+            if (*failure != registry_failure::unavailable || !follows_another) {
+                return answer;
+            }
+            auto update = registry_update{};
+            update.upstreams.position = question.after;
+            update.relays = std::move(relays);
+            update.redirected = true;
+            return update;
+        }
+        auto update = base::take_value(std::move(answer));
+        if (question.complete) {
+            update.complete = true;
+            update.upstreams.put = this->view.upstreams.registered();
+        }
+        update.after_outage = this->view.upstreams.in_grace(now);
+        update.hosts = this->view.known_hosts(now);
+        update.relays = std::move(relays);
+        return update;
+    }
+
     auto serve(runtime::http_request const& request, runtime::http_responder& responder) -> void {
         auto const arrived = base::monotonic_clock::now();
         auto const caller = Wire::read_caller_request(request);
--- a/linnetlane/router/host_membership.h
+++ b/linnetlane/router/host_membership.h
@@ -1,17 +1,22 @@
-// Keeps a host registered, counts the other hosts, and claims the role of order giver when no host
-// has it. The order giver is the host that orders engines to change their stage.
+// Keeps a host registered while it reads the registry for others, counts the hosts, and claims the
+// role of order giver when no host has it. The order giver is the host that orders engines to change
+// their stage.
 
 #ifndef LINNETLANE_ROUTER_HOST_MEMBERSHIP_H_
 #define LINNETLANE_ROUTER_HOST_MEMBERSHIP_H_
 
 #include <algorithm>
 #include <chrono>
+#include <cmath>
+#include <cstddef>
 #include <map>
 #include <optional>
+#include <utility>
 #include <vector>
 
 #include "linnetlane/base/time.h"
 #include "linnetlane/router/messages.h"
+#include "linnetlane/router/registry_follower.h"
 #include "linnetlane/router/request_context.h"
 #include "linnetlane/routing/stage_balancer.h"
 
@@ -36,9 +41,16 @@
     // followers learn that this host has lost the registry.
     static constexpr auto followed_interval = std::chrono::milliseconds{500};
     static constexpr auto followed_call_timeout = std::chrono::milliseconds{400};
-    static constexpr auto list_interval = std::chrono::seconds{6};
-    // Shorter intervals at startup, so that the pools reach their sizes before callers send
-    // requests.
+    static constexpr auto list_interval = std::chrono::seconds{2};
+    // How long a host that no longer reads the registry stays registered, so that a short change of
+    // the source costs no calls.
+    static constexpr auto unregister_delay = std::chrono::seconds{5};
+    // How often the host checks whether it has become a reader of the registry.
+    static constexpr auto role_check_interval = std::chrono::milliseconds{50};
+    // The least relative change of the number of followers that is published.
+    static constexpr auto min_follower_change = 0.1;
+    // Shorter intervals after the host has registered, so that the pools reach their sizes before
+    // callers send requests and others soon find this host.
     static constexpr auto first_interval = std::chrono::milliseconds{300};
     static constexpr auto first_intervals = 8;
     static constexpr auto call_timeout = std::chrono::milliseconds{800};
@@ -60,13 +72,15 @@
 
     // Keeps the lease, lists the hosts and orders stage changes. Never returns.
     [[noreturn]] auto run() -> void {
-        for (auto round = 0;; ++round) {
+        for (;;) {
+            auto const was_reader = this->host.view.reads_registry;
             this->step();
-            auto const now = base::monotonic_clock::now();
-            auto const usual = this->host.view.feed.has_followers(now)
-                                   ? base::duration{followed_interval}
-                                   : base::duration{interval};
-            runtime::sleep_until(now + (round < first_intervals ? first_interval : usual));
+            auto const until = base::monotonic_clock::now() + this->pause();
+            while (base::monotonic_clock::now() < until &&
+                   (was_reader || !this->host.view.reads_registry)) {
+                runtime::sleep_until(
+                    std::min(until, base::monotonic_clock::now() + role_check_interval));
+            }
         }
     }
 
@@ -82,8 +96,17 @@
     }
 
 private:
+    [[nodiscard]] auto pause() -> base::duration {
+        if (this->first_steps > 0) {
+            --this->first_steps;
+            return first_interval;
+        }
+        return this->host.view.feed.has_followers(base::monotonic_clock::now()) ? followed_interval
+                                                                                : interval;
+    }
+
     auto step() -> void {
-        if (this->leaving) {
+        if (this->leaving || !this->needs_lease()) {
             return;
         }
         auto const asked_at = base::monotonic_clock::now();
@@ -101,36 +124,88 @@
         this->order_changes();
     }
 
-    // Returns whether to list the hosts. During startup they are listed in every step, so that the
-    // pools reach their sizes before callers send requests.
+    // Returns whether the host has to be registered. Ends the lease of a host that no longer has to.
+    auto needs_lease() -> bool {
+        auto const now = base::monotonic_clock::now();
+        if (this->host.view.reads_registry || this->claim) {
+            this->needed_until = now + unregister_delay;
+            return true;
+        }
+        if (!this->lease) {
+            return false;
+        }
+        if (now < this->needed_until) {
+            return true;
+        }
+        // If the call fails, the entry is removed when the lease expires.
+        static_cast<void>(this->registry.leave(*this->lease, now + call_timeout));
+        this->lease.reset();
+        return false;
+    }
+
+    // Returns whether to list the hosts: in every step soon after this host has registered.
     auto list_due() -> bool {
         auto const now = base::monotonic_clock::now();
         if (now < this->next_list) {
             return false;
         }
-        auto const early = now < this->started_at + fleet_startup;
+        auto const early = this->first_steps > 0;
         this->next_list =
             now + (early ? base::duration{first_interval} : base::duration{list_interval});
         return true;
     }
 
     auto list() -> void {
-        auto const listing = this->registry.list_hosts(base::monotonic_clock::now() + call_timeout);
+        auto const listing = this->registry.list_hosts(freshness::may_be_stale,
+                                                       base::monotonic_clock::now() + call_timeout);
         if (base::failure_of(listing) != nullptr) {
             return;
         }
         auto const& listed = base::value_of(listing);
-        this->host.view.relays.set_hosts(listed.hosts);
-        // Hosts that have left within the window may have used their share of the retry budget.
+        auto& view = this->host.view;
         auto const now = base::monotonic_clock::now();
-        if (listed.hosts.size() >= this->peak_hosts || now >= this->peak_hosts_until) {
-            this->peak_hosts = listed.hosts.size();
-            this->peak_hosts_until = now + this->host.settings.retries.window;
+        auto const followers = view.feed.followers(now);
+        this->publish_followers(followers.size());
+        if (view.reads_registry) {
+            auto registered = hosts_of(listed, view.relays.own_entry());
+            // The list may be older than this host's entry.
+            registered.push_back(view.relays.own_entry());
+            view.relays.set_order(order_relays(std::move(registered), followers));
+            view.note_hosts(this->count_hosts(listed), now);
         }
-        this->host.view.hosts = std::max<std::size_t>(this->peak_hosts, 1);
         this->claim_order_giver_role(listed);
     }
 
+    // Returns the number of registered hosts and their followers.
+    [[nodiscard]] auto count_hosts(host_listing const& listed) const -> std::size_t {
+        // A host may have entries of earlier processes.
+        auto followers = std::map<base::host_id, std::size_t>{};
+        for (auto const& each : listed.hosts) {
+            auto& count = followers[each.entry.host];
+            count = std::max(count, each.followers);
+        }
+        followers[this->host.settings.host] = this->published_followers;
+        auto total = followers.size();
+        for (auto const& [id, count] : followers) {
+            total += count;
+        }
+        return total;
+    }
+
+    auto publish_followers(std::size_t count) -> void {
+        auto const published = static_cast<double>(this->published_followers);
+        auto const change = std::abs(static_cast<double>(count) - published);
+        if (!this->lease || change <= min_follower_change * published) {
+            return;
+        }
+        auto const updated = this->registry.update_entry(
+            registered_host{this->host.view.relays.own_entry(), count}, *this->lease,
+            base::monotonic_clock::now() + call_timeout);
+        if (base::succeeded(updated)) {
+            this->published_followers = count;
+        }
+    }
+
     // Renews the lease or acquires a new one. Returns whether the registry confirmed it.
     auto renew_or_join() -> bool {
         auto const now = base::boot_clock::now();
@@ -153,18 +228,26 @@
             this->lease.reset();
             this->claim.reset();
         }
-        auto const& own = this->host.settings;
         auto const joined = this->registry.join(
-            host_entry{own.host, own.data_centre, own.listen.peers}, lease_ttl, deadline);
+            registered_host{this->host.view.relays.own_entry(), 0}, lease_ttl, deadline);
         auto const* const granted = std::get_if<granted_lease>(&joined);
         if (granted == nullptr) {
             return false;
         }
         this->lease = granted->lease;
         this->lease_until = now + granted->ttl;
+        this->published_followers = 0;
+        this->first_steps = first_intervals;
+        this->log_registered();
         return true;
     }
 
+    auto log_registered() const -> void {
+        this->host.log.write(telemetry::log_level::info, "registered",
+                             {this->host.settings.host,
+                              {"lease", static_cast<std::int64_t>(this->lease->value)}});
+    }
+
     auto claim_order_giver_role(host_listing const& listed) -> void {
         if (!this->lease || this->claim || listed.order_giver) {
             return;
@@ -301,8 +384,12 @@
     base::boot_clock::time_point lease_until;
     std::optional<order_giver_claim> claim;
     base::time_point next_list = base::time_point::min();
-    std::size_t peak_hosts = 0;
-    base::time_point peak_hosts_until = base::time_point::min();
+    // Until this time the host stays registered although it doesn't read the registry.
+    base::time_point needed_until = base::time_point::min();
+    // The number of followers in the host's entry in the registry.
+    std::size_t published_followers = 0;
+    // The number of steps that follow at `first_interval`.
+    int first_steps = 0;
     std::map<base::service_id, routing::stage_balancer> balancers;
     base::time_point started_at = base::monotonic_clock::now();
     bool leaving = false;
--- a/linnetlane/router/messages.h
+++ b/linnetlane/router/messages.h
@@ -213,25 +213,41 @@
     base::duration ttl{};
 };
 
-// A host's entry in the registry.
+// The processor capacity of a host, in thousandths of a core.
+using host_capacity = base::basic_number<struct host_capacity_tag>;
+
+// A host, as other hosts know it.
 struct host_entry {
     base::host_id host;
     base::data_centre_id data_centre;
     // The address for requests of hosts of the same data centre, if the host accepts them.
     std::optional<base::endpoint> peers;
+    host_capacity capacity;
+
+    friend auto operator==(host_entry const&, host_entry const&) -> bool = default;
+};
+
+// The registry's entry of a host that reads the registry for others.
+struct registered_host {
+    host_entry entry;
+    // The number of hosts that follow this one.
+    std::size_t followers = 0;
 };
 
 struct host_listing {
-    std::vector<host_entry> hosts;
+    std::vector<registered_host> hosts;
     // The host that is the order giver, if any.
     std::optional<base::host_id> order_giver;
 };
 
+// Whether a read of the registry may return stale data, at a lower cost.
+enum class freshness { current, may_be_stale };
+
 // The registry of a platform. Calls suspend the calling fiber, at most until `deadline`.
 template <typename Registry>
 concept router_registry = requires(Registry& registry, registry_position position,
                                    base::duration wait, base::time_point deadline,
-                                   host_entry const& self, base::host_id const& host,
+                                   registered_host const& self, base::host_id const& host,
                                    registry_lease lease) {
     {
         registry.read_configuration(deadline)
@@ -255,7 +271,13 @@
     {
         registry.renew(lease, deadline)
         } -> std::same_as<base::result<base::duration, registry_failure>>;
-    { registry.list_hosts(deadline) } -> std::same_as<base::result<host_listing, registry_failure>>;
+    // Replaces the entry that `join` registered.
+    {
+        registry.update_entry(self, lease, deadline)
+        } -> std::same_as<base::result<base::nothing, registry_failure>>;
+    {
+        registry.list_hosts(freshness::current, deadline)
+        } -> std::same_as<base::result<host_listing, registry_failure>>;
     // Makes `host` the order giver if there is none. The result is empty if there is one.
     {
         registry.claim_order_giver(host, lease, deadline)
--- a/linnetlane/router/peer_codec.cpp
+++ b/linnetlane/router/peer_codec.cpp
@@ -114,6 +114,17 @@
     return out;
 }
 
+auto to_wire(host_entry const& host) -> peer_wire::host {
+    auto out = peer_wire::host{};
+    out.__set_name(host.host.value);
+    if (host.peers) {
+        out.__set_address(host.peers->address);
+        out.__set_port(host.peers->port);
+    }
+    out.__set_capacity(static_cast<std::int64_t>(host.capacity.value));
+    return out;
+}
+
 auto to_wire(changes_answer const& answer) -> peer_wire::changes_answer {
     auto out = peer_wire::changes_answer{};
     if (auto const* const failure = base::failure_of(answer)) {
@@ -127,7 +138,8 @@
     if (update.configuration) {
         out.__set_newer_configuration(to_wire(*update.configuration));
     }
-    out.__set_outcome(peer_wire::outcome::changes);
+    out.__set_outcome(update.redirected ? peer_wire::outcome::redirected
+                                        : peer_wire::outcome::changes);
     out.__set_position(static_cast<std::int64_t>(changes.position.value));
     for (auto const& record : changes.put) {
         out.put.push_back(to_wire(record));
@@ -135,9 +147,30 @@
     for (auto const& id : changes.removed) {
         out.removed.push_back(id.value);
     }
+    out.__set_complete(update.complete);
+    out.__set_after_outage(update.after_outage);
+    out.__set_hosts(static_cast<std::int64_t>(update.hosts));
+    auto relays = std::vector<peer_wire::host>{};
+    for (auto const& host : update.relays) {
+        relays.push_back(to_wire(host));
+    }
+    out.__set_relays(relays);
     return out;
 }
 
+// Returns nothing if the host has no name or no address.
+auto from_wire(peer_wire::host&& in) -> std::optional<host_entry> {
+    auto const port_fits = in.port > 0 && in.port <= std::numeric_limits<std::uint16_t>::max();
+    if (in.name.empty() || in.address.empty() || !port_fits) {
+        return std::nullopt;
+    }
+    auto entry = host_entry{};
+    entry.host.value = std::move(in.name);
+    entry.peers = base::endpoint{std::move(in.address), static_cast<std::uint16_t>(in.port)};
+    entry.capacity.value = static_cast<std::uint64_t>(std::max<std::int64_t>(in.capacity, 0));
+    return entry;
+}
+
 auto from_wire(peer_wire::upstream&& in) -> std::optional<routing::upstream_record> {
     auto const port_fits = in.port > 0 && in.port <= std::numeric_limits<std::uint16_t>::max();
     auto const stage_known =
@@ -231,6 +264,10 @@
     out.__set_after(static_cast<std::int64_t>(question.after.value));
     out.__set_wait(microseconds_of(question.wait));
     out.__set_configuration_version(static_cast<std::int64_t>(question.configuration.value));
+    out.__set_complete(question.complete);
+    if (question.sender) {
+        out.__set_sender(to_wire(*question.sender));
+    }
     return protocol::write_compact(out);
 }
 
@@ -239,15 +276,20 @@
 }
 
 auto decode_question(std::string_view text) -> std::optional<changes_question> {
-    auto const in = read<peer_wire::changes_question>(text);
+    auto in = read<peer_wire::changes_question>(text);
     constexpr auto limit = std::chrono::microseconds{max_wait}.count();
     if (!in || !in->__isset.after || in->wait < 0 || in->wait > limit) {
         return std::nullopt;
     }
-    return changes_question{
+    auto question = changes_question{
         registry_position{static_cast<std::uint64_t>(in->after)},
         std::chrono::microseconds{in->wait},
         routing::configuration_version{static_cast<std::uint64_t>(in->configuration_version)}};
+    question.complete = in->__isset.complete && in->complete;
+    if (in->__isset.sender) {
+        question.sender = from_wire(std::move(in->sender));
+    }
+    return question;
 }
 
 auto decode_answer(std::string_view text) -> changes_answer {
@@ -258,10 +300,11 @@
     if (in->outcome == peer_wire::outcome::history_lost) {
         return registry_failure::history_lost;
     }
-    if (in->outcome != peer_wire::outcome::changes) {
+    auto update = registry_update{};
+    update.redirected = in->outcome == peer_wire::outcome::redirected;
+    if (in->outcome != peer_wire::outcome::changes && !update.redirected) {
         return registry_failure::unavailable;
     }
-    auto update = registry_update{};
     auto& changes = update.upstreams;
     changes.position.value = static_cast<std::uint64_t>(in->position);
     for (auto& each : in->put) {
@@ -278,6 +321,14 @@
         update.configuration = std::make_shared<routing::configuration const>(
             from_wire(std::move(in->newer_configuration)));
     }
+    update.complete = in->__isset.complete && in->complete;
+    update.after_outage = in->__isset.after_outage && in->after_outage;
+    update.hosts = in->__isset.hosts ? amount(in->hosts) : 0;
+    for (auto& host : in->relays) {
+        if (auto entry = from_wire(std::move(host))) {
+            update.relays.push_back(std::move(*entry));
+        }
+    }
     return update;
 }
 
--- a/linnetlane/router/peer_codec.h
+++ b/linnetlane/router/peer_codec.h
@@ -3,10 +3,12 @@
 #ifndef LINNETLANE_ROUTER_PEER_CODEC_H_
 #define LINNETLANE_ROUTER_PEER_CODEC_H_
 
+#include <cstddef>
 #include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "linnetlane/base/result.h"
 #include "linnetlane/base/time.h"
@@ -21,6 +23,10 @@
     base::duration wait{};
     // The version of the configuration in force at the requesting host.
     routing::configuration_version configuration;
+    // Requests all upstreams instead of the changes; `after` is ignored.
+    bool complete = false;
+    // The requesting host, which may become one to follow. Older hosts don't state it.
+    std::optional<host_entry> sender = std::nullopt;
 };
 
 // The changes since the position in a request.
@@ -28,6 +34,17 @@
     upstream_changes upstreams;
     // Null unless it is newer than that of the requesting host.
     std::shared_ptr<routing::configuration const> configuration;
+    // `upstreams.put` holds all upstreams.
+    bool complete = false;
+    // The registry was unavailable a moment ago, so removed upstreams may register again.
+    bool after_outage = false;
+    // The number of hosts of all data centres; 0 if not known.
+    std::size_t hosts = 0;
+    // The hosts to follow, in this order.
+    std::vector<host_entry> relays = {};
+    // The answering host doesn't read the registry but follows one of `relays`; there are no
+    // changes.
+    bool redirected = false;
 };
 
 using changes_answer = base::result<registry_update, registry_failure>;
--- a/linnetlane/router/registry_feed.cpp
+++ b/linnetlane/router/registry_feed.cpp
@@ -28,7 +28,11 @@
 }
 
 auto registry_feed::extend_validity(base::time_point until) -> void {
+    auto const was_valid = this->is_valid(base::monotonic_clock::now());
     this->valid_until = until;
+    if (!was_valid) {
+        this->changed.notify_all();
+    }
 }
 
 auto registry_feed::invalidate() -> void {
@@ -46,16 +50,40 @@
     this->changed.notify_all();
 }
 
+auto registry_feed::note_follower(std::optional<host_entry> const& host, base::time_point now)
+    -> void {
+    this->followed_until = now + follower_window;
+    if (host) {
+        this->known_followers.insert_or_assign(host->host, follower{*host, now + follower_window});
+    }
+}
+
+auto registry_feed::followers(base::time_point now) -> std::vector<host_entry> {
+    std::erase_if(this->known_followers, [&](auto const& each) { return each.second.until <= now; });
+    auto entries = std::vector<host_entry>{};
+    for (auto const& [id, each] : this->known_followers) {
+        entries.push_back(each.entry);
+    }
+    return entries;
+}
+
 auto registry_feed::await(changes_question const& question, base::time_point deadline)
     -> changes_answer {
-    this->followed_until = base::monotonic_clock::now() + follower_window;
+    auto const valid_by = std::min(deadline, base::monotonic_clock::now() + takeover_time);
     auto lock = std::unique_lock{this->mutex};
     for (;;) {
         auto const now = base::monotonic_clock::now();
         if (!this->is_valid(now)) {
-            return registry_failure::unavailable;
+            if (now >= valid_by) {
+                return registry_failure::unavailable;
+            }
+            this->changed.wait_until(lock, valid_by);
+            continue;
         }
         auto newer = this->configuration_newer_than(question.configuration);
+        if (question.complete) {
+            return registry_update{{{}, {}, this->newest}, std::move(newer)};
+        }
         if (newer || this->newest > question.after || now >= deadline) {
             auto changes = this->since(question.after);
             if (!changes) {
--- a/linnetlane/router/registry_feed.h
+++ b/linnetlane/router/registry_feed.h
@@ -1,6 +1,9 @@
 // Relays the registry to other hosts: recent changes of the upstreams and the configuration, for
 // the hosts that follow this one instead of reading the registry themselves.
 //
+// A host that is asked while it doesn't read the registry may be about to, since its followers can
+// notice the loss of the previous relay first. It answers only if it still doesn't after a moment.
+//
 //   feed.restart(listing.position);                    // after a full listing
 //   feed.publish(changes, change_source::registry);    // after each read of changes
 //   feed.extend_validity(now + 1s);                    // after an answer of the registry
@@ -11,9 +14,11 @@
 
 #include <cstddef>
 #include <deque>
+#include <map>
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <vector>
 
 #include <boost/fiber/condition_variable.hpp>
 
@@ -33,6 +38,8 @@
     static constexpr auto max_history = std::size_t{512};
     // How long a host counts as a follower after its last request.
     static constexpr auto follower_window = std::chrono::seconds{3};
+    // How long a question waits for this host to read the registry.
+    static constexpr auto takeover_time = std::chrono::milliseconds{300};
 
     // Starts over after a full listing at position `at`. Changes before it are not known.
     auto restart(registry_position at) -> void;
@@ -52,14 +59,21 @@
     [[nodiscard]] auto is_valid(base::time_point now) const -> bool {
         return this->reads_upstreams && this->reads_configuration && now < this->valid_until;
     }
+    // Records that another host follows this one. Older hosts don't say which one they are.
+    auto note_follower(std::optional<host_entry> const& host, base::time_point now) -> void;
     // Returns whether another host has followed this one recently.
     [[nodiscard]] auto has_followers(base::time_point now) const -> bool {
         return now < this->followed_until;
     }
+    // Returns the hosts that have followed this one recently and stated who they are.
+    [[nodiscard]] auto followers(base::time_point now) -> std::vector<host_entry>;
+    // The position up to which changes are known.
+    [[nodiscard]] auto position() const -> registry_position { return this->newest; }
 
     // Waits for changes after the position in `question`, or a newer configuration, and returns all
     // of them together. Returns an update without changes at `deadline`, or a failure if the feed
-    // isn't valid or the changes are no longer known. Suspends the calling fiber.
+    // isn't valid or the changes are no longer known. For a question for all upstreams, returns as
+    // soon as the feed is valid, with the configuration only. Suspends the calling fiber.
     [[nodiscard]] auto await(changes_question const& question, base::time_point deadline)
         -> changes_answer;
 
@@ -77,6 +91,11 @@
     bool reads_configuration = false;
     base::time_point valid_until = base::time_point::min();
     base::time_point followed_until = base::time_point::min();
+    struct follower {
+        host_entry entry;
+        base::time_point until;
+    };
+    std::map<base::host_id, follower> known_followers;
     // Required by the condition variable. All fibers run on one worker, so the mutex protects
     // nothing else.
     std::mutex mutex;
--- a/linnetlane/router/registry_follower.h
+++ b/linnetlane/router/registry_follower.h
@@ -1,8 +1,10 @@
-// Keeps a routing view current from the registry: one fiber for the configuration, one for the
-// upstreams.
+// Keeps a routing view current: one fiber for the upstreams, which come from the registry or from
+// another host, and one that reads the configuration from the registry as long as the upstreams come
+// from there.
 //
-// Both read the full state once and then wait for changes. After a failure they read the full state
-// again, since changes may have been missed. Meanwhile the last known state stays in force.
+// Both read the full state once and then wait for changes. Positions are those of the registry at
+// every source, so a change of the source leaves no gap. While no source is usable, the last known
+// state stays in force.
 
 #ifndef LINNETLANE_ROUTER_REGISTRY_FOLLOWER_H_
 #define LINNETLANE_ROUTER_REGISTRY_FOLLOWER_H_
@@ -12,9 +14,11 @@
 #include <functional>
 #include <optional>
 #include <utility>
+#include <vector>
 
 #include "linnetlane/router/messages.h"
 #include "linnetlane/router/peer_codec.h"
+#include "linnetlane/router/relay_selector.h"
 #include "linnetlane/router/request_context.h"
 
 namespace linnetlane::router {
@@ -29,18 +33,39 @@
     // The timeout of a read of the full state.
     static constexpr auto read_timeout = std::chrono::milliseconds{1500};
     // The pause between two reads of changes, so that one read returns several.
-    static constexpr auto batch_interval = std::chrono::milliseconds{200};
+    static constexpr auto batch_interval = std::chrono::milliseconds{400};
     static constexpr auto initial_backoff = std::chrono::milliseconds{50};
     static constexpr auto max_backoff = std::chrono::milliseconds{800};
     // How long a followed host waits for changes before it answers.
     static constexpr auto peer_wait = std::chrono::milliseconds{400};
     // The time after the end of that wait at which the registry is read instead.
     static constexpr auto peer_timeout_margin = std::chrono::milliseconds{250};
-    // How often `configuration_follower` checks whether another host still provides the
-    // configuration.
-    static constexpr auto relayed_check_interval = std::chrono::milliseconds{100};
+    // The wait of the first read of changes after another source was used, short so that followers
+    // soon can rely on this host.
+    static constexpr auto first_wait = std::chrono::milliseconds{20};
+    // How often a host checks whether a source has become usable.
+    static constexpr auto source_check_interval = std::chrono::milliseconds{50};
+    // The interval between reads of the list of hosts while no source is usable.
+    static constexpr auto host_list_interval = std::chrono::milliseconds{400};
+    // The mean delay, on a host with a whole core, before it reads the registry without being in
+    // the order of hosts to follow. Hosts with less capacity wait longer, so that a host with more
+    // is followed.
+    static constexpr auto last_resort_delay = std::chrono::milliseconds{150};
+    static constexpr auto max_last_resort_delay = std::chrono::milliseconds{1500};
 };
 
+// Returns the registered hosts of the data centre of `self`.
+[[nodiscard]] inline auto hosts_of(host_listing const& listing, host_entry const& self)
+    -> std::vector<host_entry> {
+    auto found = std::vector<host_entry>{};
+    for (auto const& each : listing.hosts) {
+        if (each.entry.data_centre == self.data_centre) {
+            found.push_back(each.entry);
+        }
+    }
+    return found;
+}
+
 // Exponential backoff with jitter.
 class retry_backoff {
 public:
@@ -149,19 +174,18 @@
     }
 
 private:
-    // Waits while another host provides the configuration along with the changes of the upstreams.
-    // Returns whether one did.
+    // Waits while this host doesn't read the registry itself. Returns whether it waited.
     auto wait_while_relayed() -> bool {
-        auto const& until = this->host.view.relayed_until;
-        auto const relayed = base::monotonic_clock::now() < until;
-        if (relayed) {
-            this->host.view.feed.set_reads_configuration(false);
+        auto const& view = this->host.view;
+        if (view.reads_registry) {
+            return false;
         }
-        while (base::monotonic_clock::now() < until) {
+        this->host.view.feed.set_reads_configuration(false);
+        while (!view.reads_registry) {
             runtime::sleep_until(base::monotonic_clock::now() +
-                                 follower_timing::relayed_check_interval);
+                                 follower_timing::source_check_interval);
         }
-        return relayed;
+        return true;
     }
 
     auto after_failure(registry_failure failure, bool was_waiting) -> void {
@@ -207,123 +231,243 @@
 
     // Follows the upstreams. Never returns.
     [[noreturn]] auto run() -> void {
+        this->host.view.relays.set_last_resort_delay(this->draw_last_resort_delay());
+        this->refresh_order();
+        auto position = std::optional<registry_position>{};
         for (;;) {
-            auto position = this->list();
-            while (position) {
-                position = this->follow(*position);
-            }
+            position = this->follow(position);
         }
     }
 
 private:
+    [[nodiscard]] auto draw_last_resort_delay() const -> base::duration {
+        auto const share = std::max(this->host.settings.processor_share.value, 0.01);
+        auto const mean = std::min<std::chrono::duration<double>>(
+            follower_timing::last_resort_delay / share, follower_timing::max_last_resort_delay);
+        return std::chrono::duration_cast<base::duration>(mean * (0.5 + this->host.view.draw()));
+    }
+
+    // Reads changes since `position`, or all upstreams if it is not set, from the source that is
+    // usable now. Returns the new position, or nothing if all upstreams have to be read.
+    auto follow(std::optional<registry_position> position) -> std::optional<registry_position> {
+        auto& view = this->host.view;
+        auto const choice = view.relays.choose(base::monotonic_clock::now());
+        auto const turns_reader =
+            choice.origin == change_origin::registry && !std::exchange(view.reads_registry, true);
+        view.reads_registry = choice.origin == change_origin::registry;
+        this->note_source(choice);
+        switch (choice.origin) {
+            case change_origin::registry:
+                return position ? this->follow_registry(*position, turns_reader) : this->list();
+            case change_origin::relay:
+                return this->follow_relay(*choice.relay, position);
+            case change_origin::none:
+                break;
+        }
+        view.feed.invalidate();
+        this->refresh_order_if_due();
+        runtime::sleep_until(base::monotonic_clock::now() + follower_timing::source_check_interval);
+        return position;
+    }
+
+    // ---- The registry ----
+
     // Applies a full listing. Returns its position, or nothing after a failure.
     auto list() -> std::optional<registry_position> {
+        auto& view = this->host.view;
         auto const listing = this->registry.list_upstreams(base::monotonic_clock::now() +
                                                            follower_timing::read_timeout);
         if (auto const* const failure = base::failure_of(listing)) {
-            this->host.view.upstreams.note_outage();
-            this->outages.failed(*failure);
-            this->backoff.after_failure(this->host.view.draw());
+            this->note_registry_lost(*failure);
             return std::nullopt;
         }
-        this->outages.succeeded();
-        this->backoff.after_success();
+        this->note_registry_answered();
         auto const& listed = base::value_of(listing);
         if (listed.unreadable > 0) {
             this->host.log.write(telemetry::log_level::warning,
                                  "registry entries are not valid upstream records",
                                  {{"entries", static_cast<std::int64_t>(listed.unreadable)}});
         }
-        for (auto const& record : listed.records) {
-            this->note_change(record);
-        }
-        auto const dropped =
-            this->host.view.upstreams.replace_all(listed.records, base::monotonic_clock::now());
-        this->log_dropped(dropped);
-        this->publish();
-        this->host.view.feed.restart(listed.position);
+        this->apply_listing(listed.records);
+        view.feed.restart(listed.position);
         return listed.position;
     }
 
     // Waits for changes and applies them. Returns the new position, or nothing if a full listing is
-    // needed.
-    auto follow(registry_position position) -> std::optional<registry_position> {
+    // needed. After a failure the position stays valid, here and at other hosts.
+    auto follow_registry(registry_position position, bool turns_reader)
+        -> std::optional<registry_position> {
+        auto const asked_at = base::monotonic_clock::now();
+        auto const wait = turns_reader ? base::duration{follower_timing::first_wait}
+                                       : base::duration{follower_timing::wait};
+        auto const changes = this->registry.await_upstreams(
+            position, wait, asked_at + wait + follower_timing::timeout_margin);
+        if (auto const* const failure = base::failure_of(changes)) {
+            this->host.view.feed.invalidate();
+            if (*failure == registry_failure::history_lost) {
+                return std::nullopt;
+            }
+            this->note_registry_lost(*failure);
+            return position;
+        }
+        this->note_registry_answered();
+        this->apply(base::value_of(changes));
+        this->host.view.feed.publish(base::value_of(changes), change_source::registry);
+        if (!turns_reader) {
+            runtime::sleep_until(base::monotonic_clock::now() + follower_timing::batch_interval);
+        }
+        return base::value_of(changes).position;
+    }
+
+    auto note_registry_lost(registry_failure failure) -> void {
+        auto& view = this->host.view;
+        view.upstreams.note_outage();
+        this->outages.failed(failure);
+        view.relays.note_failure(view.relays.own_entry().host, relay_failure::without_registry,
+                                 base::monotonic_clock::now());
+    }
+
+    auto note_registry_answered() -> void {
+        auto& view = this->host.view;
+        this->outages.succeeded();
+        view.upstreams.note_available(base::monotonic_clock::now());
+        view.relays.note_success(view.relays.own_entry().host);
+    }
+
+    auto refresh_order_if_due() -> void {
+        if (base::monotonic_clock::now() >= this->next_order_refresh) {
+            this->refresh_order();
+        }
+    }
+
+    // Reads which hosts of the data centre are registered. Only hosts without a usable source do
+    // this here; `host_membership` does it for hosts that read the registry.
+    auto refresh_order() -> void {
+        auto& view = this->host.view;
         auto const now = base::monotonic_clock::now();
-        auto const relay = this->host.view.relays.choose(now);
-        this->note_source(relay);
-        if (!relay) {
-            return this->follow_registry(position);
+        this->next_order_refresh = now + follower_timing::host_list_interval;
+        auto const listing = this->registry.list_hosts(freshness::may_be_stale,
+                                                       now + follower_timing::read_timeout);
+        if (auto const* const failure = base::failure_of(listing)) {
+            this->outages.failed(*failure);
+            this->next_order_refresh = base::monotonic_clock::now() + follower_timing::max_backoff;
+            return;
+        }
+        this->outages.succeeded();
+        auto const registered = hosts_of(base::value_of(listing), view.relays.own_entry());
+        if (!registered.empty()) {
+            view.relays.set_order(order_relays(registered, {}));
         }
-        this->host.view.feed.invalidate();
-        auto const answer = this->ask_relay(*relay, position);
+    }
+
+    // ---- Another host ----
+
+    auto follow_relay(host_entry const& relay, std::optional<registry_position> position)
+        -> std::optional<registry_position> {
+        auto& view = this->host.view;
+        view.feed.invalidate();
+        auto const answer = this->ask_relay(relay, position);
         if (auto const* const failure = base::failure_of(answer)) {
-            this->host.view.relayed_until = base::time_point::min();
             if (*failure == registry_failure::history_lost) {
                 return std::nullopt;
             }
-            // Positions are the same at the registry, so reading continues there without a gap.
-            this->host.log.write(telemetry::log_level::info, "no changes received from relay host",
-                                 {telemetry::field::peer(relay->host),
-                                  {"malformed", *failure == registry_failure::malformed}});
-            this->host.view.relays.note_failure(relay->host, base::monotonic_clock::now());
-            return this->follow_registry(position);
+            this->note_relay_lost(relay, *failure);
+            return position;
         }
         auto const& update = base::value_of(answer);
-        this->host.view.relayed_until = base::monotonic_clock::now() + follower_timing::peer_wait +
-                                        follower_timing::peer_timeout_margin;
+        if (!update.relays.empty()) {
+            view.relays.set_order(update.relays);
+        }
+        if (update.redirected) {
+            // Hosts with different orders could otherwise redirect to each other without end.
+            view.relays.note_failure(relay.host, relay_failure::without_registry,
+                                     base::monotonic_clock::now());
+            return position;
+        }
+        view.relays.note_success(relay.host);
+        if (update.hosts > 0) {
+            view.note_hosts(update.hosts, base::monotonic_clock::now());
+        }
         this->on_configuration(update.configuration);
-        this->apply(update.upstreams);
-        this->host.view.feed.publish(update.upstreams, change_source::peer);
+        if (update.after_outage) {
+            view.upstreams.begin_grace(base::monotonic_clock::now());
+        }
+        if (update.complete) {
+            this->apply_listing(update.upstreams.put);
+            view.feed.restart(update.upstreams.position);
+            view.feed.invalidate();
+        } else {
+            this->apply(update.upstreams);
+            view.feed.publish(update.upstreams, change_source::peer);
+        }
         return update.upstreams.position;
     }
 
-    auto ask_relay(host_entry const& relay, registry_position position) const -> changes_answer {
+    auto ask_relay(host_entry const& relay, std::optional<registry_position> position) const
+        -> changes_answer {
         auto const configuration = this->host.view.routes.current();
-        auto const version =
-            configuration ? configuration->version : routing::configuration_version{};
+        auto question = changes_question{position.value_or(registry_position{}),
+                                         follower_timing::peer_wait,
+                                         configuration ? configuration->version
+                                                       : routing::configuration_version{}};
+        question.complete = !position;
+        question.sender = this->host.view.relays.own_entry();
         auto request = runtime::http_request{"POST", "/upstream-changes", {}, {}};
-        request.body = encode(changes_question{position, follower_timing::peer_wait, version});
+        request.body = encode(question);
         auto const answered =
             runtime::fetch(*relay.peers, request, runtime::connection_use::pooled,
                            base::monotonic_clock::now() + follower_timing::peer_wait +
                                follower_timing::peer_timeout_margin);
         auto const* const response = std::get_if<runtime::http_response>(&answered);
         if (response == nullptr || response->status != 200) {
-            return registry_failure::unavailable;
+            return registry_failure::malformed;
         }
         return decode_answer(response->body);
     }
 
-    auto note_source(std::optional<host_entry> const& relay) -> void {
-        auto const now_followed = relay ? relay->host : base::host_id{};
-        if (now_followed == this->followed) {
+    auto note_relay_lost(host_entry const& relay, registry_failure failure) -> void {
+        auto const without_registry = failure == registry_failure::unavailable;
+        this->host.log.write(
+            telemetry::log_level::info, "no changes received from relay host",
+            {telemetry::field::peer(relay.host), {"without_registry", without_registry}});
+        this->host.view.relays.note_failure(relay.host,
+                                            without_registry ? relay_failure::without_registry
+                                                             : relay_failure::unreachable,
+                                            base::monotonic_clock::now());
+    }
+
+    auto note_source(relay_choice const& choice) -> void {
+        auto const now_followed = choice.relay ? choice.relay->host : base::host_id{};
+        if (now_followed == this->followed && choice.origin == this->origin) {
             return;
         }
         this->followed = now_followed;
-        if (relay) {
-            this->host.log.write(telemetry::log_level::info, "changes come from a host",
-                                 {telemetry::field::peer(relay->host)});
-        } else {
-            this->host.log.write(telemetry::log_level::info, "changes come from the registry", {});
+        this->origin = choice.origin;
+        switch (choice.origin) {
+            case change_origin::relay:
+                this->host.log.write(telemetry::log_level::info, "changes come from a host",
+                                     {telemetry::field::peer(now_followed)});
+                return;
+            case change_origin::registry:
+                this->host.log.write(telemetry::log_level::info, "changes come from the registry",
+                                     {});
+                return;
+            case change_origin::none:
+                break;
         }
+        this->host.log.write(telemetry::log_level::info, "no source of changes is usable", {});
     }
 
-    auto follow_registry(registry_position position) -> std::optional<registry_position> {
-        auto const asked_at = base::monotonic_clock::now();
-        auto const changes = this->registry.await_upstreams(
-            position, follower_timing::wait,
-            asked_at + follower_timing::wait + follower_timing::timeout_margin);
-        if (auto const* const failure = base::failure_of(changes)) {
-            if (*failure != registry_failure::history_lost) {
-                this->host.view.upstreams.note_outage();
-            }
-            this->host.view.feed.invalidate();
-            return std::nullopt;
+    // ---- State ----
+
+    auto apply_listing(std::vector<routing::upstream_record> const& listed) -> void {
+        for (auto const& record : listed) {
+            this->note_change(record);
         }
-        this->apply(base::value_of(changes));
-        this->host.view.feed.publish(base::value_of(changes), change_source::registry);
-        runtime::sleep_until(base::monotonic_clock::now() + follower_timing::batch_interval);
-        return base::value_of(changes).position;
+        auto const dropped =
+            this->host.view.upstreams.replace_all(listed, base::monotonic_clock::now());
+        this->log_dropped(dropped);
+        this->publish();
     }
 
     auto apply(upstream_changes const& changes) -> void {
@@ -403,9 +547,10 @@
     host_context const& host;
     configuration_hook on_configuration;
     outage_reporter outages;
-    retry_backoff backoff;
-    // The host that changes are read from; empty for the registry.
+    change_origin origin = change_origin::none;
+    // The host that changes are read from; empty if there is none.
     base::host_id followed;
+    base::time_point next_order_refresh = base::time_point::min();
 };
 
 }  // namespace linnetlane::router
--- a/linnetlane/router/relay_selector.h
+++ b/linnetlane/router/relay_selector.h
@@ -1,14 +1,23 @@
-// Selects the host that this host follows for changes of the registry: the first one of its data
-// centre by name that has not failed recently. The first host itself reads the registry.
+// Selects where a host reads changes of the registry: through another host of its data centre, or
+// directly.
+//
+// One host of a data centre reads the registry for the others, and only hosts that read it are
+// registered there. Each of them tells its followers which hosts to follow and in which order. If
+// the first one fails, the next one in the order takes its place, so that a lost host doesn't send
+// all of its followers to the registry. A host that isn't in the order reads the registry only as a
+// last resort, after a delay that differs between hosts.
+//
+//   auto relays = relay_selector{self};
+//   relays.set_order(order_relays(registered, {}));
+//   auto const source = relays.choose(now);
 
 #ifndef LINNETLANE_ROUTER_RELAY_SELECTOR_H_
 #define LINNETLANE_ROUTER_RELAY_SELECTOR_H_
 
-#include <algorithm>
 #include <chrono>
+#include <cstddef>
 #include <map>
 #include <optional>
-#include <utility>
 #include <vector>
 
 #include "linnetlane/base/ids.h"
@@ -17,46 +26,88 @@
 
 namespace linnetlane::router {
 
+enum class change_origin {
+    // No source is usable now.
+    none,
+    registry,
+    // Another host.
+    relay,
+};
+
+struct relay_choice {
+    change_origin origin = change_origin::none;
+    // Set if `origin` is `relay`.
+    std::optional<host_entry> relay;
+};
+
+// Why a source did not provide changes.
+enum class relay_failure {
+    // There was no usable answer.
+    unreachable,
+    // The host answered that it doesn't read the registry or has lost it.
+    without_registry,
+};
+
+// Returns the order in which hosts of one data centre are to be followed: registered hosts before
+// their followers, hosts with more capacity first, at most `relay_selector::max_order` of them.
+[[nodiscard]] auto order_relays(std::vector<host_entry> registered,
+                                std::vector<host_entry> followers) -> std::vector<host_entry>;
+
 // Not thread-safe; must be used on one worker only.
 class relay_selector {
 public:
-    // How long a host that failed is skipped, so that a crashed host causes few failed calls until
-    // it is removed from the list of hosts.
-    static constexpr auto failure_cooldown = std::chrono::seconds{2};
-
-    relay_selector(base::host_id own_host, base::data_centre_id own_data_centre)
-        : self{std::move(own_host)}, data_centre{std::move(own_data_centre)} {}
-
-    // Replaces the list of hosts.
-    auto set_hosts(std::vector<host_entry> hosts) -> void {
-        std::ranges::sort(hosts, {}, &host_entry::host);
-        this->listed = std::move(hosts);
-    }
-    // Returns the host to follow, or nothing if this host has to read the registry.
-    [[nodiscard]] auto choose(base::time_point now) const -> std::optional<host_entry> {
-        for (auto const& each : this->listed) {
-            if (each.host == this->self) {
-                return std::nullopt;
-            }
-            auto const found = this->excluded_until.find(each.host);
-            auto const failed = found != this->excluded_until.end() && now < found->second;
-            if (each.data_centre == this->data_centre && each.peers && !failed) {
-                return each;
-            }
-        }
-        return std::nullopt;
-    }
-    // Records that a followed host did not provide changes.
-    auto note_failure(base::host_id const& host, base::time_point now) -> void {
-        this->excluded_until[host] = now + failure_cooldown;
-    }
+    static constexpr auto max_order = std::size_t{8};
+    // How long a source is skipped after a failure. Doubles with each further failure.
+    static constexpr auto initial_cooldown = std::chrono::milliseconds{500};
+    static constexpr auto max_cooldown = std::chrono::milliseconds{4000};
+    // The same for this host's own access to the registry, so that it notices the end of an outage
+    // soon.
+    static constexpr auto initial_registry_cooldown = std::chrono::milliseconds{200};
+    static constexpr auto max_registry_cooldown = std::chrono::milliseconds{1000};
+    // A host that reads the registry for others skips failed hosts for longer than a crashed host
+    // stays registered, since asking one interrupts its own service.
+    static constexpr auto reader_cooldown = std::chrono::seconds{12};
+    // Lengthens the delay before the last resort if hosts of the order are alive but have lost the
+    // registry, which then is probably unavailable to all.
+    static constexpr auto outage_delay_factor = 4;
+
+    explicit relay_selector(host_entry own) : self{std::move(own)} {}
+
+    // Sets the delay after which this host reads the registry if no source has been usable.
+    auto set_last_resort_delay(base::duration delay) -> void { this->last_resort_delay = delay; }
+    // Replaces the order of hosts to follow. It may include this host.
+    auto set_order(std::vector<host_entry> hosts) -> void { this->order = std::move(hosts); }
+    // Returns the source to use now. This host reads the registry if all hosts before it in the
+    // order have failed.
+    [[nodiscard]] auto choose(base::time_point now) -> relay_choice;
+    // Returns the hosts that followers of this host are to follow, in this order.
+    [[nodiscard]] auto order_for_followers(base::time_point now) const -> std::vector<host_entry>;
+    // Record whether a source provided changes. For the registry, `host` is this host.
+    auto note_failure(base::host_id const& host, relay_failure kind, base::time_point now) -> void;
+    auto note_success(base::host_id const& host) -> void;
+
+    [[nodiscard]] auto own_entry() const -> host_entry const& { return this->self; }
 
 private:
-    base::host_id self;
-    base::data_centre_id data_centre;
-    // Sorted by name.
-    std::vector<host_entry> listed;
-    std::map<base::host_id, base::time_point> excluded_until;
+    struct failure_record {
+        base::time_point last;
+        base::duration cooldown{};
+        relay_failure kind = relay_failure::unreachable;
+    };
+
+    [[nodiscard]] auto is_usable(host_entry const& one, base::time_point now) const -> bool;
+    // Returns whether this host must read the registry because no other source has been usable for
+    // long enough.
+    [[nodiscard]] auto is_last_resort(base::time_point now) -> bool;
+
+    host_entry self;
+    std::vector<host_entry> order;
+    std::map<base::host_id, failure_record> failures;
+    base::duration last_resort_delay{};
+    // When no source was usable for the first time since the last success.
+    std::optional<base::time_point> without_source_since;
+    // The last choice was the registry, and it has not failed since.
+    bool reads_registry = false;
 };
 
 }  // namespace linnetlane::router
--- a/linnetlane/router/routing_view.cpp
+++ b/linnetlane/router/routing_view.cpp
@@ -1,5 +1,7 @@
 #include "linnetlane/router/routing_view.h"
 
+#include <algorithm>
+
 namespace linnetlane::router {
 
 auto routing_view::service(base::service_id const& id) -> service_state& {
@@ -36,6 +38,13 @@
     return std::uniform_real_distribution<double>{0, 1}(this->random);
 }
 
+auto routing_view::note_hosts(std::size_t count, base::time_point now) -> void {
+    if (count >= this->hosts || now >= this->peak_hosts_until) {
+        this->hosts = std::max<std::size_t>(count, 1);
+        this->peak_hosts_until = now + this->retry_limits.window;
+    }
+}
+
 auto routing_view::try_retry(base::service_id const& id, base::time_point now) -> bool {
     return this->service(id).retries.try_take(this->hosts, now);
 }
--- a/linnetlane/router/routing_view.h
+++ b/linnetlane/router/routing_view.h
@@ -41,11 +41,19 @@
 // Not thread-safe; must be used on one worker only.
 class routing_view {
 public:
-    // The number of hosts that are assumed to share the budgets before the first list of hosts.
-    static constexpr auto assumed_hosts = std::size_t{64};
+    // The number of hosts that are assumed to share the budgets until their number is known. No
+    // deployment within the target size has more.
+    static constexpr auto assumed_hosts = std::size_t{360};
+    // The least time for which the assumption holds after a restart. Hosts that restart together
+    // need it to find each other. At the first start of the fleet, callers don't send requests yet.
+    static constexpr auto assumption_time = std::chrono::seconds{3};
 
     routing_view(router_settings const& settings, std::uint32_t seed)
-        : relays{settings.host, settings.data_centre},
+        : relays{host_entry{settings.host, settings.data_centre, settings.listen.peers,
+                            capacity_of(settings)}},
+          assumed_until{settings.first_start
+                            ? base::time_point::min()
+                            : base::monotonic_clock::now() + base::duration{assumption_time}},
           retry_limits{settings.retries},
           random{seed} {}
 
@@ -61,6 +69,13 @@
     auto forget_load(base::upstream_id const& id) -> void;
     // Returns a random number, uniform in [0, 1).
     [[nodiscard]] auto draw() -> double;
+    // Returns the number of hosts of all data centres, or 0 while it is not known.
+    [[nodiscard]] auto known_hosts(base::time_point now) const -> std::size_t {
+        return now < this->assumed_until ? 0 : this->hosts;
+    }
+    // Records the number of hosts of all data centres. Within the window of the retry budget, the
+    // largest number holds, since hosts that have left may have used their share.
+    auto note_hosts(std::size_t count, base::time_point now) -> void;
     // Takes one retry from the service's budget. Returns false if none is left.
     [[nodiscard]] auto try_retry(base::service_id const& id, base::time_point now) -> bool;
 
@@ -70,10 +85,19 @@
     // Serves the hosts that follow this one.
     registry_feed feed;
     relay_selector relays;
-    // Until this time another host is expected to provide the changes of the registry.
-    base::time_point relayed_until = base::time_point::min();
+    // This host reads the registry itself.
+    bool reads_registry = false;
 
 private:
+    [[nodiscard]] static auto capacity_of(router_settings const& settings) -> host_capacity {
+        constexpr auto thousandths = 1000.0;
+        return host_capacity{
+            static_cast<std::uint64_t>(settings.processor_share.value * thousandths)};
+    }
+
+    base::time_point assumed_until;
+    // Until this time a smaller number of hosts is ignored.
+    base::time_point peak_hosts_until = assumed_until;
     routing::retry_budget_limits retry_limits;
     routing::data_centre_reachability reachability;
     std::minstd_rand random;
--- a/linnetlane/router/settings.cpp
+++ b/linnetlane/router/settings.cpp
@@ -56,6 +56,7 @@
 auto read_all(toml_reader& reader, router_settings& target) -> void {
     reader.require("host", target.host);
     reader.require("data_centre", target.data_centre);
+    read_share(reader, "processor_share", target.processor_share);
     reader.expect("listen");
     reader.read_table("listen", [&](toml_reader& listen) {
         listen.require("callers", target.listen.callers);
--- a/linnetlane/router/settings.h
+++ b/linnetlane/router/settings.h
@@ -51,6 +51,9 @@
 struct router_settings {
     base::host_id host;
     base::data_centre_id data_centre;
+    // The share of a core that this host may use. Hosts with a larger share are preferred for
+    // reading the registry on behalf of others.
+    base::fraction processor_share{1.0};
     router_addresses listen;
     // The address of the platform's key-value service.
     base::endpoint coordination;
--- a/linnetlane/routing/upstream_set.cpp
+++ b/linnetlane/routing/upstream_set.cpp
@@ -9,6 +9,12 @@
     this->outage = true;
 }
 
+auto upstream_set::note_available(base::time_point now) -> void {
+    if (this->outage) {
+        this->begin_grace(now);
+    }
+}
+
 auto upstream_set::begin_grace(base::time_point now) -> void {
     this->outage = false;
     this->grace_until = now + reregistration_grace;
@@ -16,9 +22,7 @@
 
 auto upstream_set::replace_all(std::vector<upstream_record> const& listed, base::time_point now)
     -> std::vector<base::upstream_id> {
-    if (this->outage) {
-        this->begin_grace(now);
-    }
+    this->note_available(now);
     auto seen = std::set<base::upstream_id>{};
     for (auto const& record : listed) {
         seen.insert(record.id);
@@ -104,6 +108,16 @@
     return dropped;
 }
 
+auto upstream_set::registered() const -> std::vector<upstream_record> {
+    auto listed = std::vector<upstream_record>{};
+    for (auto const& [id, record] : this->records) {
+        if (!this->drop_at.contains(id)) {
+            listed.push_back(record);
+        }
+    }
+    return listed;
+}
+
 auto upstream_set::find(base::upstream_id const& id) const -> upstream_record const* {
     auto const found = this->records.find(id);
     return found == this->records.end() ? nullptr : &found->second;
--- a/linnetlane/routing/upstream_set.h
+++ b/linnetlane/routing/upstream_set.h
@@ -61,8 +61,13 @@
 public:
     // Records that the registry can't be read.
     auto note_outage() -> void;
+    // Records that the registry can be read. After an outage, begins the grace period.
+    auto note_available(base::time_point now) -> void;
     // Starts the grace period, in which missing records are kept.
     auto begin_grace(base::time_point now) -> void;
+    [[nodiscard]] auto in_grace(base::time_point now) const -> bool {
+        return now < this->grace_until;
+    }
     // Applies a full listing; after an outage, begins the grace period first. Returns the upstreams
     // that were dropped because the listing lacks them, without those that `put` replaced by a
     // later process at the same address.
@@ -84,6 +89,8 @@
     [[nodiscard]] auto all() const -> std::map<base::upstream_id, upstream_record> const& {
         return this->records;
     }
+    // Returns the records that are registered, without those that are kept for the grace period.
+    [[nodiscard]] auto registered() const -> std::vector<upstream_record>;
     // Returns whether a full listing has been applied.
     [[nodiscard]] auto has_listing() const -> bool { return this->listed_once; }
 
