Router: hosts outside of the order wait for the registry's return before they use it

Followers asked hosts that had lost the store only every 4 s.

Ruled out: empty lists of hosts (they were readable from 9.4 s on); lost leases.

Change: the delay before the last resort begins when the registry can be read again; hosts that have lost the registry are asked again at least every second and answer at once.

--- a/linnetlane/router/registry_feed.cpp
+++ b/linnetlane/router/registry_feed.cpp
@@ -74,7 +74,7 @@
     for (;;) {
         auto const now = base::monotonic_clock::now();
         if (!this->is_valid(now)) {
-            if (now >= valid_by) {
+            if (this->lost_registry || now >= valid_by) {
                 return registry_failure::unavailable;
             }
             this->changed.wait_until(lock, valid_by);
--- a/linnetlane/router/registry_feed.h
+++ b/linnetlane/router/registry_feed.h
@@ -70,6 +70,11 @@
     // The position up to which changes are known.
     [[nodiscard]] auto position() const -> registry_position { return this->newest; }
 
+    // Sets whether this host can't read the registry now, so that it is not about to read it.
+    auto set_lost_registry(bool lost) -> void {
+        this->lost_registry = lost;
+        this->changed.notify_all();
+    }
     // Waits for changes after the position in `question`, or a newer configuration, and returns all
     // of them together. Returns an update without changes at `deadline`, or a failure if the feed
     // isn't valid or the changes are no longer known. For a question for all upstreams, returns as
@@ -89,6 +94,7 @@
     std::shared_ptr<routing::configuration const> configuration;
     bool reads_upstreams = false;
     bool reads_configuration = false;
+    bool lost_registry = false;
     base::time_point valid_until = base::time_point::min();
     base::time_point followed_until = base::time_point::min();
     struct follower {
--- a/linnetlane/router/registry_follower.h
+++ b/linnetlane/router/registry_follower.h
@@ -45,8 +45,10 @@
     static constexpr auto first_wait = std::chrono::milliseconds{20};
     // How often a host checks whether a source has become usable.
     static constexpr auto source_check_interval = std::chrono::milliseconds{50};
-    // The interval between reads of the list of hosts while no source is usable.
+    // The interval between reads of the list of hosts while no source is usable, for a host that
+    // knows no other, and for one that does.
     static constexpr auto host_list_interval = std::chrono::milliseconds{400};
+    static constexpr auto known_host_list_interval = std::chrono::seconds{2};
     // The mean delay, on a host with a whole core, before it reads the registry without being in
     // the order of hosts to follow. Hosts with less capacity wait longer, so that a host with more
     // is followed.
@@ -101,14 +103,16 @@
                                               ? telemetry::literal{"malformed"}
                                               : telemetry::literal{"no answer"}}});
     }
-    auto succeeded() -> void {
+    // Returns whether this ends an outage.
+    auto succeeded() -> bool {
         if (!this->lost_since) {
-            return;
+            return false;
         }
         this->host.log.write(telemetry::log_level::info, "registry regained",
                              {{"subject", this->subject},
                               {"lost_for", base::monotonic_clock::now() - *this->lost_since}});
         this->lost_since.reset();
+        return true;
     }
 
 private:
@@ -325,6 +329,7 @@
         this->outages.failed(failure);
         view.relays.note_failure(view.relays.own_entry().host, relay_failure::without_registry,
                                  base::monotonic_clock::now());
+        view.feed.set_lost_registry(true);
     }
 
     auto note_registry_answered() -> void {
@@ -332,6 +337,7 @@
         this->outages.succeeded();
         view.upstreams.note_available(base::monotonic_clock::now());
         view.relays.note_success(view.relays.own_entry().host);
+        view.feed.set_lost_registry(false);
     }
 
     auto refresh_order_if_due() -> void {
@@ -345,15 +351,21 @@
     auto refresh_order() -> void {
         auto& view = this->host.view;
         auto const now = base::monotonic_clock::now();
-        this->next_order_refresh = now + follower_timing::host_list_interval;
+        auto const interval = view.relays.has_order()
+                                  ? base::duration{follower_timing::known_host_list_interval}
+                                  : base::duration{follower_timing::host_list_interval};
+        this->next_order_refresh = now + interval;
         auto const listing = this->registry.list_hosts(freshness::may_be_stale,
                                                        now + follower_timing::read_timeout);
         if (auto const* const failure = base::failure_of(listing)) {
-            this->outages.failed(*failure);
+            this->note_registry_lost(*failure);
             this->next_order_refresh = base::monotonic_clock::now() + follower_timing::max_backoff;
             return;
         }
-        this->outages.succeeded();
+        view.feed.set_lost_registry(false);
+        if (this->outages.succeeded()) {
+            view.relays.note_registry_regained(base::monotonic_clock::now());
+        }
         auto const registered = hosts_of(base::value_of(listing), view.relays.own_entry());
         if (!registered.empty()) {
             view.relays.set_order(order_relays(registered, {}));
--- a/linnetlane/router/relay_selector.cpp
+++ b/linnetlane/router/relay_selector.cpp
@@ -77,7 +77,7 @@
 auto relay_selector::is_last_resort(base::time_point now) -> bool {
     auto const in_order =
         std::ranges::find(this->order, this->self.host, &host_entry::host) != this->order.end();
-    if (in_order || !this->is_usable(this->self, now)) {
+    if (in_order || this->lost_registry) {
         return false;
     }
     if (this->reads_registry) {
@@ -100,7 +100,10 @@
     auto const own = host == this->self.host;
     auto const initial =
         own ? base::duration{initial_registry_cooldown} : base::duration{initial_cooldown};
-    auto const limit = own ? base::duration{max_registry_cooldown} : base::duration{max_cooldown};
+    auto const limit = own ? base::duration{max_registry_cooldown}
+                       : kind == relay_failure::without_registry
+                           ? base::duration{max_cooldown_without_registry}
+                           : base::duration{max_cooldown};
     auto& record = this->failures[host];
     record.last = now;
     record.kind = kind;
@@ -109,12 +112,22 @@
                           : std::min(limit, record.cooldown * 2);
     if (own) {
         this->reads_registry = false;
+        this->lost_registry = true;
     }
 }
 
+auto relay_selector::note_registry_regained(base::time_point now) -> void {
+    this->failures.erase(this->self.host);
+    this->lost_registry = false;
+    this->without_source_since = now;
+}
+
 auto relay_selector::note_success(base::host_id const& host) -> void {
     this->failures.erase(host);
     this->without_source_since.reset();
+    if (host == this->self.host) {
+        this->lost_registry = false;
+    }
 }
 
 }  // namespace linnetlane::router
--- a/linnetlane/router/relay_selector.h
+++ b/linnetlane/router/relay_selector.h
@@ -60,6 +60,9 @@
     // How long a source is skipped after a failure. Doubles with each further failure.
     static constexpr auto initial_cooldown = std::chrono::milliseconds{500};
     static constexpr auto max_cooldown = std::chrono::milliseconds{4000};
+    // The same for a host that is alive but has lost the registry. It regains the registry as soon
+    // as this host could.
+    static constexpr auto max_cooldown_without_registry = std::chrono::milliseconds{1000};
     // The same for this host's own access to the registry, so that it notices the end of an outage
     // soon.
     static constexpr auto initial_registry_cooldown = std::chrono::milliseconds{200};
@@ -75,6 +78,11 @@
 
     // Sets the delay after which this host reads the registry if no source has been usable.
     auto set_last_resort_delay(base::duration delay) -> void { this->last_resort_delay = delay; }
+    // Records that the registry can be read again after a failure, and restarts the delay before the
+    // last resort, since other hosts regain the registry at the same time. A host outside of the
+    // order doesn't use the registry before.
+    auto note_registry_regained(base::time_point now) -> void;
+    [[nodiscard]] auto has_order() const -> bool { return !this->order.empty(); }
     // Replaces the order of hosts to follow. It may include this host.
     auto set_order(std::vector<host_entry> hosts) -> void { this->order = std::move(hosts); }
     // Returns the source to use now. This host reads the registry if all hosts before it in the
@@ -108,6 +116,8 @@
     std::optional<base::time_point> without_source_since;
     // The last choice was the registry, and it has not failed since.
     bool reads_registry = false;
+    // This host's last attempt to read the registry failed.
+    bool lost_registry = false;
 };
 
 }  // namespace linnetlane::router
--- a/linnetlane/router/relay_selector_test.cpp
+++ b/linnetlane/router/relay_selector_test.cpp
@@ -136,6 +136,29 @@
     BOOST_TEST(chosen(relays, start + 400ms) == "registry");
 }
 
+BOOST_AUTO_TEST_CASE(the_delay_before_the_last_resort_begins_when_the_registry_is_regained) {
+    auto relays = relay_selector{entry("h9")};
+    relays.set_last_resort_delay(1s);
+    BOOST_TEST(chosen(relays, start) == "");
+    // The host started in an outage, and the list of hosts can't be read.
+    relays.note_failure(base::host_id{"h9"}, relay_failure::without_registry, start + 500ms);
+    BOOST_TEST(chosen(relays, start + 600ms) == "");
+    BOOST_TEST(chosen(relays, start + 5s) == "");
+    relays.note_registry_regained(start + 5s);
+    BOOST_TEST(chosen(relays, start + 5s) == "");
+    BOOST_TEST(chosen(relays, start + 6s) == "registry");
+}
+
+BOOST_AUTO_TEST_CASE(a_host_without_the_registry_is_asked_again_at_least_every_second) {
+    auto relays = relay_selector{entry("h9")};
+    relays.set_last_resort_delay(1h);
+    relays.set_order({entry("h1")});
+    for (auto failure = 0; failure < 6; ++failure) {
+        relays.note_failure(base::host_id{"h1"}, relay_failure::without_registry, start);
+    }
+    BOOST_TEST(chosen(relays, start + 1s) == "h1");
+}
+
 BOOST_AUTO_TEST_CASE(a_host_that_lost_the_registry_follows_its_own_followers_and_tries_again) {
     auto relays = relay_selector{entry("h1")};
     relays.set_order({entry("h1"), entry("h2")});
@@ -168,6 +191,7 @@
 struct data_centre {
     std::map<std::string, relay_selector> hosts;
     std::map<std::string, bool> cut_from_registry;
+    std::map<std::string, bool> registry_lost;
     std::size_t registry_reads = 0;
 
     explicit data_centre(std::size_t count) {
@@ -196,6 +220,11 @@
         for (auto& [name, host] : this->hosts) {
             auto const choice = host.choose(now);
             if (choice.origin == change_origin::none) {
+                // A host without a source lists the registered hosts.
+                if (!this->cut_from_registry[name] && this->registry_lost[name]) {
+                    host.note_registry_regained(now);
+                    this->registry_lost[name] = false;
+                }
                 continue;
             }
             auto const source = choice.relay ? choice.relay->host.value : name;
@@ -206,6 +235,7 @@
                 host.note_success(base::host_id{source});
                 ++served;
             } else {
+                this->registry_lost[name] = this->registry_lost[name] || !choice.relay;
                 host.note_failure(base::host_id{source},
                                   this->hosts.contains(source) ? relay_failure::without_registry
                                                                : relay_failure::unreachable,
