Stage balancer: changes wait for registrations, and a change counts once it was ordered

An order that was answered "not needed", since the engine was still changing, counted as done for 15 s, so the correction came at 21 s.

Change: while engines register during startup, only those are changed that twice as many engines wouldn't need.

--- a/linnetlane/router/host_membership.h
+++ b/linnetlane/router/host_membership.h
@@ -64,6 +64,8 @@
     static constexpr auto pool_startup = std::chrono::seconds{8};
     // The additional time after a stage change until the engine's record shows the new stage.
     static constexpr auto record_lag = std::chrono::seconds{3};
+    // How long an engine that declined an order is left alone.
+    static constexpr auto declined_pause = std::chrono::seconds{2};
     // The longest time that an engine needs to finish its requests before a stage change.
     static constexpr auto max_request_time = std::chrono::seconds{6};
 
@@ -310,6 +312,16 @@
         }
     }
 
+    enum class order_outcome {
+        // The engine accepted the order or gave no answer.
+        possibly_accepted,
+        already_done,
+        // The engine can't execute the order now.
+        declined,
+        // This host may not be the order giver any more.
+        no_authority,
+    };
+
     auto order_changes_of(routing::service const& service) -> void {
         auto& balancer = this->balancers
                              .try_emplace(service.id, this->host.settings.generation.prefill_share,
@@ -326,29 +338,44 @@
             if (!change) {
                 return;
             }
-            balancer.note_ordered(*change, base::monotonic_clock::now() +
-                                               service.engine->stage_switch + max_request_time +
-                                               record_lag);
-            this->order(*change);
+            auto const outcome = this->order(*change);
+            auto const now = base::monotonic_clock::now();
+            switch (outcome) {
+                case order_outcome::possibly_accepted:
+                    balancer.note_ordered(*change, now + service.engine->stage_switch +
+                                                       max_request_time + record_lag);
+                    break;
+                case order_outcome::already_done:
+                    balancer.note_ordered(*change, now + record_lag);
+                    break;
+                case order_outcome::declined:
+                    balancer.note_declined(change->engine, now + declined_pause);
+                    break;
+                case order_outcome::no_authority:
+                    return;
+            }
         }
     }
 
-    auto order(routing::stage_change const& change) -> void {
+    auto order(routing::stage_change const& change) -> order_outcome {
         auto const* const record = this->host.view.upstreams.find(change.engine);
         if (record == nullptr) {
-            return;
+            return order_outcome::declined;
         }
         auto const address = record->address;
         auto const report = this->ask_report(change.engine, address);
-        auto const unneeded = report && (report->busy || report->stage == change.to);
-        if (!report || unneeded) {
-            this->log_order(change, unneeded ? telemetry::literal{"not needed"}
-                                             : telemetry::literal{"no report"});
-            return;
+        if (!report || report->busy) {
+            this->log_order(change, report ? telemetry::literal{"another order is under way"}
+                                           : telemetry::literal{"no report"});
+            return order_outcome::declined;
+        }
+        if (report->stage == change.to) {
+            this->log_order(change, "already done");
+            return order_outcome::already_done;
         }
         if (!this->may_order() || !this->confirm_claim() || !this->may_order()) {
             this->log_order(change, "claim not confirmed");
-            return;
+            return order_outcome::no_authority;
         }
         auto const authority = order_authority{this->host.settings.host, this->claim->fence};
         auto const answered = runtime::fetch(
@@ -359,6 +386,9 @@
             response != nullptr && (response->status == 202 || response->status == 200);
         this->log_order(change, accepted ? telemetry::literal{"accepted"}
                                          : telemetry::literal{"no acceptance"});
+        // An order without an answer may be carried out later.
+        return accepted || response == nullptr ? order_outcome::possibly_accepted
+                                               : order_outcome::declined;
     }
 
     auto ask_report(base::upstream_id const& engine, base::endpoint const& address)
--- a/linnetlane/routing/stage_balancer.cpp
+++ b/linnetlane/routing/stage_balancer.cpp
@@ -6,19 +6,21 @@
 
 namespace linnetlane::routing {
 
-namespace {
-
-// Returns an engine of `stage` in the data centre that has most of them, so that no data centre
-// loses its last one early. Returns null if there is none.
-auto pick_from_largest_group(std::vector<upstream_record> const& engines, engine_stage stage)
+auto stage_balancer::pick(std::vector<upstream_record> const& engines, engine_stage stage) const
     -> upstream_record const* {
     auto per_data_centre = std::map<base::data_centre_id, std::size_t>{};
     for (auto const& one : engines) {
         per_data_centre[one.data_centre] += one.stage == stage && !one.leaving ? 1 : 0;
     }
+    auto const changes = [&](base::upstream_id const& id) {
+        return this->declined_until.contains(id) ||
+               std::ranges::find(this->ordered, id, [](pending_change const& each) {
+                   return each.change.engine;
+               }) != this->ordered.end();
+    };
     auto const* chosen = static_cast<upstream_record const*>(nullptr);
     for (auto const& one : engines) {
-        if (one.stage != stage || one.leaving) {
+        if (one.stage != stage || one.leaving || changes(one.id)) {
             continue;
         }
         if (chosen == nullptr ||
@@ -29,12 +31,14 @@
     return chosen;
 }
 
-}  // namespace
-
 auto stage_balancer::apply_pending(std::vector<upstream_record>& engines, base::time_point now)
     -> void {
-    std::erase_if(this->ordered,
-                  [&](pending_change const& one) { return one.effective_by <= now; });
+    std::erase_if(this->declined_until, [&](auto const& each) { return each.second <= now; });
+    std::erase_if(this->ordered, [&](pending_change const& one) {
+        auto const found = std::ranges::find(engines, one.change.engine, &upstream_record::id);
+        return one.effective_by <= now ||
+               (found != engines.end() && found->stage == one.change.to);
+    });
     for (auto& engine : engines) {
         for (auto const& one : this->ordered) {
             if (one.change.engine == engine.id) {
@@ -44,6 +48,14 @@
     }
 }
 
+auto stage_balancer::registrations_continue(std::size_t engines, base::time_point now) -> bool {
+    if (engines > this->registered) {
+        this->registrations_end = now + registration_gap;
+    }
+    this->registered = engines;
+    return now < this->startup_until && now < this->registrations_end;
+}
+
 auto stage_balancer::next_change(std::vector<upstream_record> engines, base::time_point now)
     -> std::optional<stage_change> {
     this->apply_pending(engines, now);
@@ -54,28 +66,33 @@
             (one.stage == engine_stage::prefill ? prefill : decode) += 1;
         }
     }
-    auto const wanted = wanted_prefill(prefill + decode, this->share);
+    auto const engine_count = prefill + decode;
+    auto const considered =
+        this->registrations_continue(engine_count, now) ? 2 * engine_count : engine_count;
+    auto const wanted = wanted_prefill(engine_count, this->share);
     if (prefill >= wanted) {
         this->shortage_since.reset();
     }
     if (prefill <= wanted) {
         this->surplus_since.reset();
     }
-    if (prefill > wanted) {
+    if (prefill > wanted_prefill(considered, this->share)) {
         if (now >= this->startup_until && !lasted(this->surplus_since, now)) {
             return std::nullopt;
         }
-        auto const* const engine = pick_from_largest_group(engines, engine_stage::prefill);
-        return stage_change{engine->id, engine_stage::decode};
+        auto const* const engine = this->pick(engines, engine_stage::prefill);
+        return engine == nullptr ? std::nullopt
+                                 : std::optional{stage_change{engine->id, engine_stage::decode}};
     }
-    if (prefill == wanted || decode < 2) {
+    if (prefill >= wanted || decode < 2) {
         return std::nullopt;
     }
     if (!lasted(this->shortage_since, now) && prefill > 0) {
         return std::nullopt;
     }
-    auto const* const engine = pick_from_largest_group(engines, engine_stage::decode);
-    return stage_change{engine->id, engine_stage::prefill};
+    auto const* const engine = this->pick(engines, engine_stage::decode);
+    return engine == nullptr ? std::nullopt
+                             : std::optional{stage_change{engine->id, engine_stage::prefill}};
 }
 
 auto stage_balancer::lasted(std::optional<base::time_point>& since, base::time_point now) -> bool {
@@ -90,6 +107,11 @@
     this->ordered.push_back(pending_change{change, effective_by});
 }
 
+auto stage_balancer::note_declined(base::upstream_id const& engine, base::time_point until)
+    -> void {
+    this->declined_until[engine] = until;
+}
+
 auto stage_balancer::wanted_prefill(std::size_t engines, base::fraction share) -> std::size_t {
     if (engines < 2) {
         return engines == 0 ? 0 : 1;
--- a/linnetlane/routing/stage_balancer.h
+++ b/linnetlane/routing/stage_balancer.h
@@ -9,6 +9,7 @@
 #define LINNETLANE_ROUTING_STAGE_BALANCER_H_
 
 #include <cstddef>
+#include <map>
 #include <optional>
 #include <vector>
 
@@ -34,9 +35,12 @@
     // How long a shortage or surplus of prefill engines must last before an engine is changed:
     // crashed engines usually restart before a stage change would be complete.
     static constexpr auto min_imbalance_time = std::chrono::seconds{6};
+    // Engines that start together register within this time of each other: one heartbeat.
+    static constexpr auto registration_gap = std::chrono::milliseconds{1200};
 
-    // Until `startup_ends`, before callers send requests, surplus prefill engines are changed at
-    // once.
+    // Until `startup_ends`, before callers send requests, surplus prefill engines are changed
+    // without waiting for `min_imbalance_time`. While engines still register, only those are
+    // changed that even twice as many engines wouldn't need.
     stage_balancer(base::fraction prefill_share, base::time_point startup_ends)
         : share(prefill_share), startup_until(startup_ends) {}
 
@@ -44,9 +48,12 @@
     // service.
     [[nodiscard]] auto next_change(std::vector<upstream_record> engines, base::time_point now)
         -> std::optional<stage_change>;
-    // Records that `change` was ordered. Until `effective_by` the engine counts as changed even if
-    // its record still has the old stage.
+    // Records that `change` was ordered. Until `effective_by`, or until its record has the new
+    // stage, the engine counts as changed and is not changed again.
     auto note_ordered(stage_change const& change, base::time_point effective_by) -> void;
+    // Records that an engine can't be changed before `until`, for example because it executes
+    // another order.
+    auto note_declined(base::upstream_id const& engine, base::time_point until) -> void;
     // Returns the target number of prefill engines among `engines`: `share` of them, rounded to the
     // nearest, such that each stage has at least one engine.
     [[nodiscard]] static auto wanted_prefill(std::size_t engines, base::fraction share)
@@ -59,6 +66,12 @@
     };
 
     auto apply_pending(std::vector<upstream_record>& engines, base::time_point now) -> void;
+    // Returns whether engines still register during startup.
+    auto registrations_continue(std::size_t engines, base::time_point now) -> bool;
+    // Returns the engine to change from `stage`, in the data centre that has most of them, so that
+    // no data centre loses its last one early. Returns null if there is none.
+    [[nodiscard]] auto pick(std::vector<upstream_record> const& engines, engine_stage stage) const
+        -> upstream_record const*;
 
     // Returns whether the imbalance that began at `since` has lasted for `min_imbalance_time`. Sets
     // `since` to `now` if it is not set.
@@ -68,6 +81,9 @@
     base::fraction share;
     base::time_point startup_until;
     std::vector<pending_change> ordered;
+    std::map<base::upstream_id, base::time_point> declined_until;
+    std::size_t registered = 0;
+    base::time_point registrations_end = base::time_point::min();
     std::optional<base::time_point> shortage_since;
     std::optional<base::time_point> surplus_since;
 };
