Stage balancer: prefill engines within rounding are kept, a severe shortage is corrected after 2 s

Ruled out: orders that were not carried out; registrations (all had registered 6 s before traffic).

Change: the number of prefill engines isn't reduced to more than 0.1 below the exact target; a shortage below 0.6 of the target is corrected after 2 s instead of 6.

--- a/linnetlane/routing/stage_balancer.cpp
+++ b/linnetlane/routing/stage_balancer.cpp
@@ -73,11 +73,12 @@
     if (prefill >= wanted) {
         this->shortage_since.reset();
     }
-    if (prefill <= wanted) {
+    auto const kept = kept_prefill(considered, this->share);
+    if (prefill <= kept) {
         this->surplus_since.reset();
     }
-    if (prefill > wanted_prefill(considered, this->share)) {
-        if (now >= this->startup_until && !lasted(this->surplus_since, now)) {
+    if (prefill > kept) {
+        if (now >= this->startup_until && !lasted(this->surplus_since, min_imbalance_time, now)) {
             return std::nullopt;
         }
         auto const* const engine = this->pick(engines, engine_stage::prefill);
@@ -87,7 +88,11 @@
     if (prefill >= wanted || decode < 2) {
         return std::nullopt;
     }
-    if (!lasted(this->shortage_since, now) && prefill > 0) {
+    auto const severe = static_cast<double>(prefill) < severe_shortage_share * this->share.value *
+                                                           static_cast<double>(engine_count);
+    auto const patience = severe ? base::duration{min_severe_shortage_time}
+                                 : base::duration{min_imbalance_time};
+    if (!lasted(this->shortage_since, patience, now) && prefill > 0) {
         return std::nullopt;
     }
     auto const* const engine = this->pick(engines, engine_stage::decode);
@@ -95,11 +100,12 @@
                              : std::optional{stage_change{engine->id, engine_stage::prefill}};
 }
 
-auto stage_balancer::lasted(std::optional<base::time_point>& since, base::time_point now) -> bool {
+auto stage_balancer::lasted(std::optional<base::time_point>& since, base::duration time,
+                            base::time_point now) -> bool {
     if (!since) {
         since = now;
     }
-    return now - *since >= min_imbalance_time;
+    return now - *since >= time;
 }
 
 auto stage_balancer::note_ordered(stage_change const& change, base::time_point effective_by)
@@ -121,4 +127,13 @@
     return std::clamp<std::size_t>(rounded, 1, engines - 1);
 }
 
+auto stage_balancer::kept_prefill(std::size_t engines, base::fraction share) -> std::size_t {
+    if (engines < 2) {
+        return wanted_prefill(engines, share);
+    }
+    auto const exact = share.value * static_cast<double>(engines) - max_prefill_deficit;
+    return std::clamp<std::size_t>(static_cast<std::size_t>(std::ceil(std::max(exact, 0.0))), 1,
+                                   engines - 1);
+}
+
 }  // namespace linnetlane::routing
--- a/linnetlane/routing/stage_balancer.h
+++ b/linnetlane/routing/stage_balancer.h
@@ -35,6 +35,14 @@
     // How long a shortage or surplus of prefill engines must last before an engine is changed:
     // crashed engines usually restart before a stage change would be complete.
     static constexpr auto min_imbalance_time = std::chrono::seconds{6};
+    // The same for a severe shortage, in which most generations would wait for a prefill in vain.
+    static constexpr auto min_severe_shortage_time = std::chrono::seconds{2};
+    // The share of the target number of prefill engines below which a shortage is severe.
+    static constexpr auto severe_shortage_share = 0.6;
+    // How far the number of prefill engines may fall below its exact target when an engine is
+    // changed to decode. A pool with too few prefill engines wastes the others' memory, while one
+    // with too few decode engines only refuses more.
+    static constexpr auto max_prefill_deficit = 0.1;
     // Engines that start together register within this time of each other: one heartbeat.
     static constexpr auto registration_gap = std::chrono::milliseconds{1200};
 
@@ -58,6 +66,10 @@
     // nearest, such that each stage has at least one engine.
     [[nodiscard]] static auto wanted_prefill(std::size_t engines, base::fraction share)
         -> std::size_t;
+    // Returns the number of prefill engines that is not reduced any further: the least one that is
+    // at most `max_prefill_deficit` below `share` of `engines`.
+    [[nodiscard]] static auto kept_prefill(std::size_t engines, base::fraction share)
+        -> std::size_t;
 
 private:
     struct pending_change {
@@ -73,10 +85,10 @@
     [[nodiscard]] auto pick(std::vector<upstream_record> const& engines, engine_stage stage) const
         -> upstream_record const*;
 
-    // Returns whether the imbalance that began at `since` has lasted for `min_imbalance_time`. Sets
-    // `since` to `now` if it is not set.
-    [[nodiscard]] static auto lasted(std::optional<base::time_point>& since, base::time_point now)
-        -> bool;
+    // Returns whether the imbalance that began at `since` has lasted for `time`. Sets `since` to
+    // `now` if it is not set.
+    [[nodiscard]] static auto lasted(std::optional<base::time_point>& since, base::duration time,
+                                     base::time_point now) -> bool;
 
     base::fraction share;
     base::time_point startup_until;
