Routing: prefills that can't be in time are refused, draws spread evenly over many engines

The draw that spreads hosts over engines with equal load was a product of the draw and the index: over 65 engines the most frequent one got 3.9 times the mean, and before a host's first request all hosts chose the same engine. After a restart, hosts passed the assumed number of hosts on as a count, and it held for the whole window of the retry budget.

--- a/linnetlane/router/generation_forwarder.h
+++ b/linnetlane/router/generation_forwarder.h
@@ -33,6 +33,9 @@
     static constexpr auto reservation_share_of_target = 0.4;
     // The lower limit of the timeout of a prefill: enough for a long prompt behind two others.
     static constexpr auto min_prefill_timeout = std::chrono::milliseconds{900};
+    // The share of the target latency that a prefill may be expected to take. The rest is left for
+    // the reservation and the first event.
+    static constexpr auto prefill_share_of_target = 0.85;
     // The number of attempts (reservation, prefill and decode) for one request.
     static constexpr auto max_tries = 3;
 
@@ -77,6 +80,13 @@
         if (base::monotonic_clock::now() >= this->context.answer_by) {
             return attempt_result::timed_out;
         }
+        if (!this->prefill_is_timely({})) {
+            this->log_step({}, "prefill queues are too long");
+            return attempt_result::no_capacity;
+        }
+        if (!this->prefill_is_admitted()) {
+            return attempt_result::no_capacity;
+        }
         auto const reserved = this->reserve();
         if (!reserved) {
             return this->reservation_failure;
@@ -189,6 +199,50 @@
 
     // ---- Prefill ----
 
+    // Returns whether a prefill that begins now is expected to end early enough for the target
+    // latency. A request that joins a longer queue only delays the requests behind it.
+    auto prefill_is_timely(std::set<base::upstream_id> const& tried) const -> bool {
+        auto const expected = this->context.state().generation.expected_prefill_time(
+            tried, this->prompt(), base::monotonic_clock::now());
+        return expected <= this->context.route.target_latency * prefill_share_of_target;
+    }
+
+    // Returns whether this host may start a prefill while the engines are overloaded. A stream that
+    // has begun is always continued.
+    auto prefill_is_admitted() -> bool {
+        if (this->relay.started()) {
+            return true;
+        }
+        auto const now = base::monotonic_clock::now();
+        auto& state = this->context.state();
+        auto const hosts = static_cast<double>(this->context.host.view.hosts);
+        auto const rate = state.generation.prefill_rate(now) / hosts;
+        if (state.prefill_limits.admits(rate, now)) {
+            return true;
+        }
+        constexpr auto thousandths = 1000.0;
+        this->context.host.log.write(
+            telemetry::log_level::info, "refused: prefills are limited",
+            {this->context.caller.id,
+             this->context.service,
+             {"hosts", static_cast<std::int64_t>(this->context.host.view.hosts)},
+             {"prefills_per_1000_s", static_cast<std::int64_t>(thousandths * rate)}});
+        return false;
+    }
+
+    // Records how long a prefill took. `made` is false if it was given up at its deadline.
+    auto note_prefill(routing::upstream_record const& engine, double ahead, base::duration took,
+                      bool made) -> void {
+        auto& state = this->context.state();
+        auto const now = base::monotonic_clock::now();
+        if (made) {
+            state.generation.note_prefill_time(this->prompt(), ahead, took);
+        } else {
+            state.generation.note_prefill_timeout(engine.id, took, now);
+            state.prefill_limits.note_timeout(engine.id, now);
+        }
+    }
+
     auto prefill(base::upstream_id const& destination) -> std::optional<prefill_location> {
         auto tried = std::set<base::upstream_id>{};
         this->prefill_failure = attempt_result::unreachable;
@@ -198,7 +252,7 @@
             auto const id = this->context.state().generation.prefill_candidate(tried, destination,
                                                                                view.draw(), now);
             auto const* const record = id ? view.upstreams.find(*id) : nullptr;
-            if (record == nullptr || !this->may_prefill(now)) {
+            if (record == nullptr || !this->may_prefill(tried, now)) {
                 return std::nullopt;
             }
             tried.insert(*id);
@@ -213,10 +267,14 @@
     }
 
     // The first prefill of a request is always allowed; further ones use the retry budget.
-    auto may_prefill(base::time_point now) -> bool {
+    auto may_prefill(std::set<base::upstream_id> const& tried, base::time_point now) -> bool {
         if (this->prefills++ == 0) {
             return true;
         }
+        if (!this->prefill_is_timely(tried)) {
+            this->prefill_failure = attempt_result::no_capacity;
+            return false;
+        }
         if (!this->context.host.view.try_retry(this->context.service, now)) {
             return false;
         }
@@ -227,17 +285,23 @@
     // Takes the record by value, since the registry may drop it during the prefill.
     auto prefill_at(routing::upstream_record engine) -> std::optional<prefill_location> {
         auto& pool = this->context.state().generation;
-        pool.begin(engine.id, this->prompt());
         auto const now = base::monotonic_clock::now();
+        auto const ahead = pool.tokens_under_way(engine.id, now);
+        pool.begin(engine.id, this->prompt());
         auto const timeout =
             std::max<base::duration>(min_prefill_timeout, this->context.route.target_latency);
         auto const deadline = std::min(this->context.answer_by, now + timeout);
-        auto const options = send_options{engine.id, this->context.answer_by - now};
+        // The engine drops the prompt if it hasn't begun by the deadline.
+        auto const options = send_options{engine.id, deadline - now};
         auto result = exchange<Wire>(this->context, engine.address,
                                      Wire::make_prefill_request(this->context.caller, options),
                                      runtime::connection_use::pooled, deadline);
         auto made = this->read_prefill(engine, result, deadline);
         pool.end(engine.id, this->prompt());
+        auto const ended = base::monotonic_clock::now();
+        if (made || ended >= deadline) {
+            this->note_prefill(engine, ahead, ended - now, made.has_value());
+        }
         if (made) {
             this->context.host.metrics.count_prefill(this->prompt());
             this->prefilled_at = engine.id;
--- a/linnetlane/router/host.h
+++ b/linnetlane/router/host.h
@@ -177,7 +177,7 @@
             update.upstreams.put = this->view.upstreams.registered();
         }
         update.after_outage = this->view.upstreams.in_grace(now);
-        update.hosts = this->view.known_hosts(now);
+        update.hosts = this->view.known_hosts();
         update.relays = std::move(relays);
         return update;
     }
--- a/linnetlane/router/host_membership.h
+++ b/linnetlane/router/host_membership.h
@@ -1,6 +1,6 @@
 // Keeps a host registered while it reads the registry for others, counts the hosts, and claims the
-// role of order giver when no host has it. The order giver is the host that orders engines to change
-// their stage.
+// role of order giver when no host has it. The order giver is the host that orders engines to
+// change their stage.
 
 #ifndef LINNETLANE_ROUTER_HOST_MEMBERSHIP_H_
 #define LINNETLANE_ROUTER_HOST_MEMBERSHIP_H_
@@ -126,7 +126,8 @@
         this->order_changes();
     }
 
-    // Returns whether the host has to be registered. Ends the lease of a host that no longer has to.
+    // Returns whether the host has to be registered. Ends the lease of a host that no longer has
+    // to.
     auto needs_lease() -> bool {
         auto const now = base::monotonic_clock::now();
         if (this->host.view.reads_registry || this->claim) {
@@ -200,9 +201,9 @@
         if (!this->lease || change <= min_follower_change * published) {
             return;
         }
-        auto const updated = this->registry.update_entry(
-            registered_host{this->host.view.relays.own_entry(), count}, *this->lease,
-            base::monotonic_clock::now() + call_timeout);
+        auto const updated =
+            this->registry.update_entry(registered_host{this->host.view.relays.own_entry(), count},
+                                        *this->lease, base::monotonic_clock::now() + call_timeout);
         if (base::succeeded(updated)) {
             this->published_followers = count;
         }
@@ -245,9 +246,9 @@
     }
 
     auto log_registered() const -> void {
-        this->host.log.write(telemetry::log_level::info, "registered",
-                             {this->host.settings.host,
-                              {"lease", static_cast<std::int64_t>(this->lease->value)}});
+        this->host.log.write(
+            telemetry::log_level::info, "registered",
+            {this->host.settings.host, {"lease", static_cast<std::int64_t>(this->lease->value)}});
     }
 
     auto claim_order_giver_role(host_listing const& listed) -> void {
--- a/linnetlane/router/peers_test.cpp
+++ b/linnetlane/router/peers_test.cpp
@@ -97,8 +97,8 @@
 
 // A host of the data centre "a"; messages between its hosts don't name the data centre.
 auto relay(std::string name, std::uint64_t capacity) -> host_entry {
-    return host_entry{base::host_id{std::move(name)}, {}, base::endpoint{"10.0.0.1", 1},
-                      host_capacity{capacity}};
+    return host_entry{
+        base::host_id{std::move(name)}, {}, base::endpoint{"10.0.0.1", 1}, host_capacity{capacity}};
 }
 
 auto ask_after(registry_position after) -> changes_question {
--- a/linnetlane/router/registry_feed.cpp
+++ b/linnetlane/router/registry_feed.cpp
@@ -59,7 +59,8 @@
 }
 
 auto registry_feed::followers(base::time_point now) -> std::vector<host_entry> {
-    std::erase_if(this->known_followers, [&](auto const& each) { return each.second.until <= now; });
+    std::erase_if(this->known_followers,
+                  [&](auto const& each) { return each.second.until <= now; });
     auto entries = std::vector<host_entry>{};
     for (auto const& [id, each] : this->known_followers) {
         entries.push_back(each.entry);
--- a/linnetlane/router/registry_follower.h
+++ b/linnetlane/router/registry_follower.h
@@ -1,6 +1,6 @@
 // Keeps a routing view current: one fiber for the upstreams, which come from the registry or from
-// another host, and one that reads the configuration from the registry as long as the upstreams come
-// from there.
+// another host, and one that reads the configuration from the registry as long as the upstreams
+// come from there.
 //
 // Both read the full state once and then wait for changes. Positions are those of the registry at
 // every source, so a change of the source leaves no gap. While no source is usable, the last known
@@ -355,8 +355,8 @@
                                   ? base::duration{follower_timing::known_host_list_interval}
                                   : base::duration{follower_timing::host_list_interval};
         this->next_order_refresh = now + interval;
-        auto const listing = this->registry.list_hosts(freshness::may_be_stale,
-                                                       now + follower_timing::read_timeout);
+        auto const listing =
+            this->registry.list_hosts(freshness::may_be_stale, now + follower_timing::read_timeout);
         if (auto const* const failure = base::failure_of(listing)) {
             this->note_registry_lost(*failure);
             this->next_order_refresh = base::monotonic_clock::now() + follower_timing::max_backoff;
@@ -418,10 +418,9 @@
     auto ask_relay(host_entry const& relay, std::optional<registry_position> position) const
         -> changes_answer {
         auto const configuration = this->host.view.routes.current();
-        auto question = changes_question{position.value_or(registry_position{}),
-                                         follower_timing::peer_wait,
-                                         configuration ? configuration->version
-                                                       : routing::configuration_version{}};
+        auto question = changes_question{
+            position.value_or(registry_position{}), follower_timing::peer_wait,
+            configuration ? configuration->version : routing::configuration_version{}};
         question.complete = !position;
         question.sender = this->host.view.relays.own_entry();
         auto request = runtime::http_request{"POST", "/upstream-changes", {}, {}};
@@ -442,10 +441,10 @@
         this->host.log.write(
             telemetry::log_level::info, "no changes received from relay host",
             {telemetry::field::peer(relay.host), {"without_registry", without_registry}});
-        this->host.view.relays.note_failure(relay.host,
-                                            without_registry ? relay_failure::without_registry
-                                                             : relay_failure::unreachable,
-                                            base::monotonic_clock::now());
+        this->host.view.relays.note_failure(
+            relay.host,
+            without_registry ? relay_failure::without_registry : relay_failure::unreachable,
+            base::monotonic_clock::now());
     }
 
     auto note_source(relay_choice const& choice) -> void {
--- a/linnetlane/router/relay_selector.cpp
+++ b/linnetlane/router/relay_selector.cpp
@@ -107,9 +107,8 @@
     auto& record = this->failures[host];
     record.last = now;
     record.kind = kind;
-    record.cooldown = record.cooldown == base::duration::zero()
-                          ? initial
-                          : std::min(limit, record.cooldown * 2);
+    record.cooldown =
+        record.cooldown == base::duration::zero() ? initial : std::min(limit, record.cooldown * 2);
     if (own) {
         this->reads_registry = false;
         this->lost_registry = true;
--- a/linnetlane/router/relay_selector.h
+++ b/linnetlane/router/relay_selector.h
@@ -78,9 +78,9 @@
 
     // Sets the delay after which this host reads the registry if no source has been usable.
     auto set_last_resort_delay(base::duration delay) -> void { this->last_resort_delay = delay; }
-    // Records that the registry can be read again after a failure, and restarts the delay before the
-    // last resort, since other hosts regain the registry at the same time. A host outside of the
-    // order doesn't use the registry before.
+    // Records that the registry can be read again after a failure, and restarts the delay before
+    // the last resort, since other hosts regain the registry at the same time. A host outside of
+    // the order doesn't use the registry before.
     auto note_registry_regained(base::time_point now) -> void;
     [[nodiscard]] auto has_order() const -> bool { return !this->order.empty(); }
     // Replaces the order of hosts to follow. It may include this host.
--- a/linnetlane/router/relay_selector_test.cpp
+++ b/linnetlane/router/relay_selector_test.cpp
@@ -1,5 +1,5 @@
-// Tests of the choice of the host that provides changes of the registry, for data centres of up to a
-// hundred hosts.
+// Tests of the choice of the host that provides changes of the registry, for data centres of up to
+// a hundred hosts.
 
 #include "linnetlane/router/relay_selector.h"
 
@@ -229,8 +229,8 @@
             }
             auto const source = choice.relay ? choice.relay->host.value : name;
             this->registry_reads += choice.relay ? 0 : 1;
-            auto const works = choice.relay ? this->reads_registry(source, now)
-                                            : !this->cut_from_registry[name];
+            auto const works =
+                choice.relay ? this->reads_registry(source, now) : !this->cut_from_registry[name];
             if (works) {
                 host.note_success(base::host_id{source});
                 ++served;
--- a/linnetlane/router/routing_view.cpp
+++ b/linnetlane/router/routing_view.cpp
@@ -41,6 +41,7 @@
 auto routing_view::note_hosts(std::size_t count, base::time_point now) -> void {
     if (count >= this->hosts || now >= this->peak_hosts_until) {
         this->hosts = std::max<std::size_t>(count, 1);
+        this->hosts_known = true;
         this->peak_hosts_until = now + this->retry_limits.window;
     }
 }
--- a/linnetlane/router/routing_view.h
+++ b/linnetlane/router/routing_view.h
@@ -21,6 +21,7 @@
 #include "linnetlane/routing/configuration.h"
 #include "linnetlane/routing/generation_pool.h"
 #include "linnetlane/routing/plain_pool.h"
+#include "linnetlane/routing/prefill_limiter.h"
 #include "linnetlane/routing/retry_budget.h"
 #include "linnetlane/routing/upstream_set.h"
 
@@ -34,6 +35,7 @@
 
     routing::plain_pool plain;
     routing::generation_pool generation;
+    routing::prefill_limiter prefill_limits;
     routing::retry_budget retries;
     routing::admission_controller admission;
 };
@@ -51,9 +53,9 @@
     routing_view(router_settings const& settings, std::uint32_t seed)
         : relays{host_entry{settings.host, settings.data_centre, settings.listen.peers,
                             capacity_of(settings)}},
-          assumed_until{settings.first_start
-                            ? base::time_point::min()
-                            : base::monotonic_clock::now() + base::duration{assumption_time}},
+          peak_hosts_until{settings.first_start
+                               ? base::time_point::min()
+                               : base::monotonic_clock::now() + base::duration{assumption_time}},
           retry_limits{settings.retries},
           random{seed} {}
 
@@ -70,8 +72,8 @@
     // Returns a random number, uniform in [0, 1).
     [[nodiscard]] auto draw() -> double;
     // Returns the number of hosts of all data centres, or 0 while it is not known.
-    [[nodiscard]] auto known_hosts(base::time_point now) const -> std::size_t {
-        return now < this->assumed_until ? 0 : this->hosts;
+    [[nodiscard]] auto known_hosts() const -> std::size_t {
+        return this->hosts_known ? this->hosts : 0;
     }
     // Records the number of hosts of all data centres. Within the window of the retry budget, the
     // largest number holds, since hosts that have left may have used their share.
@@ -95,9 +97,9 @@
             static_cast<std::uint64_t>(settings.processor_share.value * thousandths)};
     }
 
-    base::time_point assumed_until;
     // Until this time a smaller number of hosts is ignored.
-    base::time_point peak_hosts_until = assumed_until;
+    base::time_point peak_hosts_until;
+    bool hosts_known = false;
     routing::retry_budget_limits retry_limits;
     routing::data_centre_reachability reachability;
     std::minstd_rand random;
--- /dev/null
+++ b/linnetlane/router/routing_view_test.cpp
@@ -0,0 +1,50 @@
+// Tests of the number of hosts that share the budgets.
+
+#include "linnetlane/router/routing_view.h"
+
+#include <chrono>
+
+#include <boost/test/unit_test.hpp>
+
+namespace linnetlane::router {
+namespace {
+
+using namespace std::chrono_literals;
+
+auto settings_of_restart(bool first_start) -> router_settings {
+    auto settings = router_settings{};
+    settings.first_start = first_start;
+    settings.retries.window = 10s;
+    return settings;
+}
+
+BOOST_AUTO_TEST_CASE(a_restarted_host_assumes_many_hosts_until_it_had_time_to_find_the_others) {
+    auto view = routing_view{settings_of_restart(false), 1};
+    auto const started = base::monotonic_clock::now();
+    view.note_hosts(6, started);
+    BOOST_TEST(view.hosts == routing_view::assumed_hosts);
+    // The assumption isn't passed on as a count, which others would keep for a whole window.
+    BOOST_TEST(view.known_hosts() == 0U);
+    view.note_hosts(7, started + 4s);
+    BOOST_TEST(view.hosts == 7U);
+    BOOST_TEST(view.known_hosts() == 7U);
+}
+
+BOOST_AUTO_TEST_CASE(a_fleet_that_starts_for_the_first_time_uses_the_first_count) {
+    auto view = routing_view{settings_of_restart(true), 1};
+    view.note_hosts(7, base::monotonic_clock::now());
+    BOOST_TEST(view.hosts == 7U);
+}
+
+BOOST_AUTO_TEST_CASE(hosts_that_have_left_count_until_the_end_of_the_window) {
+    auto view = routing_view{settings_of_restart(true), 1};
+    auto const now = base::monotonic_clock::now();
+    view.note_hosts(7, now);
+    view.note_hosts(3, now + 9s);
+    BOOST_TEST(view.hosts == 7U);
+    view.note_hosts(3, now + 10s);
+    BOOST_TEST(view.hosts == 3U);
+}
+
+}  // namespace
+}  // namespace linnetlane::router
--- a/linnetlane/routing/generation_pool.cpp
+++ b/linnetlane/routing/generation_pool.cpp
@@ -4,6 +4,7 @@
 #include <cmath>
 #include <tuple>
 
+#include "linnetlane/routing/derived_draw.h"
 #include "linnetlane/routing/moving_mean.h"
 
 namespace linnetlane::routing {
@@ -14,16 +15,14 @@
 // The range of the random part of the cost, in multiples of the mean request. Keeps hosts with the
 // same view from choosing the same engine.
 constexpr auto draw_spread = 0.5;
+// The weights with which the prefill time per token follows shorter and longer samples. Longer ones
+// often come from work at the engine that this host doesn't know of.
+constexpr auto shorter_time_weight = 0.2;
+constexpr auto longer_time_weight = 0.01;
 // The cost of transferring a prefill result to another data centre, in multiples of the mean
 // request. Corresponds to about 50 ms of a target latency of several hundred.
 constexpr auto cross_data_centre_cost = 0.5;
 
-// Derives a different number in [0, 1) from `draw` for each `index`.
-auto scrambled(double draw, std::size_t index) -> double {
-    auto const product = draw * static_cast<double>(index + 1) * 7.31;
-    return product - std::floor(product);
-}
-
 }  // namespace
 
 auto expected_output(generation_size const& size) -> double {
@@ -61,13 +60,14 @@
     using ranked = std::tuple<bool, bool, double, base::upstream_id>;
     auto order = std::vector<ranked>{};
     auto index = std::size_t{0};
+    auto const usual = this->usual_others(engine_stage::decode, now);
     for (auto const& [id, one] : this->members) {
         ++index;
         if (one.leaving || one.stage != engine_stage::decode) {
             continue;
         }
-        auto const cost =
-            this->load_of(one, now) + draw_spread * this->mean_tokens * scrambled(draw, index);
+        auto const cost = this->load_of(one, usual, now) +
+                          draw_spread * this->usual_tokens() * derived_draw(draw, index);
         order.emplace_back(this->is_last_resort(one, now), now < one.full_until, cost, id);
     }
     std::ranges::sort(order);
@@ -89,6 +89,7 @@
     using ranked = std::tuple<bool, bool, double, base::upstream_id>;
     auto best = std::optional<ranked>{};
     auto index = std::size_t{0};
+    auto const usual = this->usual_others(engine_stage::prefill, now);
     for (auto const& [id, one] : this->members) {
         ++index;
         if (one.leaving || one.stage != engine_stage::prefill || tried.contains(id)) {
@@ -96,9 +97,9 @@
         }
         auto const same_data_centre = decode_engine != this->members.end() &&
                                       decode_engine->second.data_centre == one.data_centre;
-        auto const spread =
-            draw_spread * scrambled(draw, index) + (same_data_centre ? 0 : cross_data_centre_cost);
-        auto const cost = this->load_of(one, now) + spread * this->mean_tokens;
+        auto const spread = draw_spread * derived_draw(draw, index) +
+                            (same_data_centre ? 0 : cross_data_centre_cost);
+        auto const cost = this->load_of(one, usual, now) + spread * this->usual_tokens();
         auto const candidate =
             ranked{this->is_last_resort(one, now), now < one.full_until, cost, id};
         if (!best || candidate < *best) {
@@ -108,6 +109,62 @@
     return best ? std::optional{std::get<3>(*best)} : std::nullopt;
 }
 
+auto generation_pool::expected_prefill_time(std::set<base::upstream_id> const& tried,
+                                            base::token_count prompt, base::time_point now) const
+    -> base::duration {
+    auto least = std::optional<double>{};
+    auto const usual = this->usual_others(engine_stage::prefill, now);
+    for (auto const& [id, one] : this->members) {
+        if (one.leaving || one.stage != engine_stage::prefill || tried.contains(id) ||
+            this->is_last_resort(one, now) || now < one.full_until) {
+            continue;
+        }
+        auto const tokens = this->load_of(one, usual, now);
+        least = std::min(least.value_or(tokens), tokens);
+    }
+    auto const all = least.value_or(0) + static_cast<double>(prompt.value);
+    return base::from_seconds(all * this->seconds_per_token);
+}
+
+auto generation_pool::prefill_rate(base::time_point now) const -> double {
+    auto const usable = std::ranges::count_if(this->members, [&](auto const& each) {
+        return each.second.stage == engine_stage::prefill && !each.second.leaving &&
+               !this->is_last_resort(each.second, now);
+    });
+    auto const seconds = this->seconds_per_token * this->mean_prompt;
+    return seconds > 0 ? static_cast<double>(usable) / seconds : 0;
+}
+
+auto generation_pool::note_prefill_time(base::token_count prompt, double ahead, base::duration took)
+    -> void {
+    auto const tokens = ahead + static_cast<double>(prompt.value);
+    if (tokens <= 0) {
+        return;
+    }
+    auto const sample = base::to_seconds(took) / tokens;
+    auto const weight = sample < this->seconds_per_token ? shorter_time_weight : longer_time_weight;
+    update_moving_mean(this->seconds_per_token, sample, weight);
+}
+
+auto generation_pool::note_prefill_timeout(base::upstream_id const& id, base::duration waited,
+                                           base::time_point now) -> void {
+    auto const found = this->members.find(id);
+    if (found == this->members.end() || this->seconds_per_token == 0 || this->mean_prompt == 0) {
+        return;
+    }
+    auto const queued = base::to_seconds(waited) / this->seconds_per_token / this->mean_prompt;
+    found->second.others.note(load_report{0, static_cast<std::size_t>(queued), 1}, 0,
+                              now + prefill_timeout_validity);
+}
+
+auto generation_pool::tokens_under_way(base::upstream_id const& id, base::time_point now) const
+    -> double {
+    auto const found = this->members.find(id);
+    return found == this->members.end()
+               ? 0
+               : this->load_of(found->second, this->usual_others(found->second.stage, now), now);
+}
+
 auto generation_pool::note_full(base::upstream_id const& id, base::time_point now) -> void {
     if (auto const found = this->members.find(id); found != this->members.end()) {
         found->second.full_until = now + full_cooldown;
@@ -126,6 +183,9 @@
     if (auto const found = this->members.find(id); found != this->members.end()) {
         found->second.under_way += tokens;
         ++found->second.requests;
+        if (found->second.stage == engine_stage::prefill) {
+            update_moving_mean(this->mean_prompt, static_cast<double>(tokens.value), newest_weight);
+        }
     }
 }
 
@@ -154,9 +214,25 @@
     }
 }
 
-auto generation_pool::load_of(member const& one, base::time_point now) const -> double {
-    auto const others = static_cast<double>(one.others.at(now)) * this->mean_tokens;
-    return static_cast<double>(one.under_way.value) + others;
+auto generation_pool::usual_others(engine_stage stage, base::time_point now) const -> double {
+    auto total = 0.0;
+    auto reports = 0.0;
+    for (auto const& [id, one] : this->members) {
+        if (one.stage == stage && one.others.is_known(now)) {
+            total += static_cast<double>(one.others.at(now));
+            ++reports;
+        }
+    }
+    return reports > 0 ? total / reports : 0;
+}
+
+auto generation_pool::load_of(member const& one, double usual_others, base::time_point now) const
+    -> double {
+    auto const per_request =
+        one.stage == engine_stage::prefill ? this->mean_prompt : this->usual_tokens();
+    auto const others =
+        one.others.is_known(now) ? static_cast<double>(one.others.at(now)) : usual_others;
+    return static_cast<double>(one.under_way.value) + others * per_request;
 }
 
 }  // namespace linnetlane::routing
--- a/linnetlane/routing/generation_pool.h
+++ b/linnetlane/routing/generation_pool.h
@@ -56,6 +56,8 @@
     // engine turned out to have another stage. The registry reports the change within one or two
     // heartbeats.
     static constexpr auto replaced_cooldown = std::chrono::seconds{2};
+    // How long a prefill that timed out counts as evidence of a long queue.
+    static constexpr auto prefill_timeout_validity = std::chrono::milliseconds{300};
     // Load reports of engines expire after this time.
     static constexpr auto load_report_validity = std::chrono::milliseconds{800};
 
@@ -80,6 +82,33 @@
                                          base::time_point now) const
         -> std::optional<base::upstream_id>;
 
+    // Returns the expected time until the engine that would finish it first has prefilled a prompt
+    // of `prompt` tokens; zero while too little is known. Excludes the engines in `tried`.
+    [[nodiscard]] auto expected_prefill_time(std::set<base::upstream_id> const& tried,
+                                             base::token_count prompt, base::time_point now) const
+        -> base::duration;
+
+    // Returns the prefills per second that the usable prefill engines can sustain; 0 if it is not
+    // known.
+    [[nodiscard]] auto prefill_rate(base::time_point now) const -> double;
+
+    // Records that a prefill of `prompt` tokens, which began when `ahead` tokens were under way at
+    // the engine, took `took`.
+    auto note_prefill_time(base::token_count prompt, double ahead, base::duration took) -> void;
+    // Records that an engine did not finish a prefill within `waited`, so its queue is at least as
+    // long.
+    auto note_prefill_timeout(base::upstream_id const& id, base::duration waited,
+                              base::time_point now) -> void;
+    // Returns the tokens under way at an engine, from all hosts, as far as known.
+    [[nodiscard]] auto tokens_under_way(base::upstream_id const& id, base::time_point now) const
+        -> double;
+
+    // Returns the expected time until an engine has prefilled everything that is under way there.
+    [[nodiscard]] auto prefill_queue_time(base::upstream_id const& id, base::time_point now) const
+        -> base::duration {
+        return base::from_seconds(this->tokens_under_way(id, now) * this->seconds_per_token);
+    }
+
     // Records that an engine had too little free memory for a reservation or refused a prefill.
     auto note_full(base::upstream_id const& id, base::time_point now) -> void;
     // Records that another process, or an engine of another stage, answered at its address.
@@ -111,13 +140,28 @@
     [[nodiscard]] auto is_last_resort(member const& one, base::time_point now) const -> bool {
         return !one.health.usable(now) || this->reachability->is_suspect(one.data_centre, now);
     }
-    // Returns the load of the engine in tokens, from all hosts.
-    [[nodiscard]] auto load_of(member const& one, base::time_point now) const -> double;
+    // Returns the tokens of a usual request; 1 before the first request, so that engines are still
+    // distinguished by their request counts and the draw.
+    [[nodiscard]] auto usual_tokens() const -> double {
+        return this->mean_tokens > 0 ? this->mean_tokens : 1;
+    }
+    // Returns the load of the engine in tokens, from all hosts. An engine without a current report
+    // counts as having `usual_others` requests of other hosts.
+    [[nodiscard]] auto load_of(member const& one, double usual_others, base::time_point now) const
+        -> double;
+    // Returns the mean number of requests of other hosts at the engines of `stage` that have a
+    // current report; 0 if none has one.
+    [[nodiscard]] auto usual_others(engine_stage stage, base::time_point now) const -> double;
 
     data_centre_reachability* reachability;
     std::map<base::upstream_id, member> members;
-    // The moving mean of tokens per request. Converts request counts of other hosts into tokens.
+    // The moving means of tokens per request and of tokens per prompt. They convert request counts
+    // of other hosts into tokens.
     double mean_tokens = 0;
+    double mean_prompt = 0;
+    // The prefill time per token of an engine that isn't slowed down by other work, in seconds; 0
+    // while unknown.
+    double seconds_per_token = 0;
 };
 
 }  // namespace linnetlane::routing
--- a/linnetlane/routing/load_report.h
+++ b/linnetlane/routing/load_report.h
@@ -25,6 +25,10 @@
         this->requests = all > own ? all - own : 0;
         this->valid_until = until;
     }
+    // Returns whether the last report has not expired.
+    [[nodiscard]] auto is_known(base::time_point now) const -> bool {
+        return now < this->valid_until;
+    }
     // Returns the requests of other hosts, or 0 if the last report has expired.
     [[nodiscard]] auto at(base::time_point now) const -> std::size_t {
         return now < this->valid_until ? this->requests : 0;
--- a/linnetlane/routing/plain_pool.cpp
+++ b/linnetlane/routing/plain_pool.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <limits>
 
+#include "linnetlane/routing/derived_draw.h"
 #include "linnetlane/routing/moving_mean.h"
 
 namespace linnetlane::routing {
@@ -43,10 +44,7 @@
         }
         auto const usable =
             one.health.usable(now) && !this->reachability->is_suspect(one.data_centre, now);
-        // The fractional part differs for each upstream.
-        auto const scrambled = draw * static_cast<double>(index) * 7.0;
-        auto const jitter =
-            1 + draw_spread * (scrambled - static_cast<double>(static_cast<int>(scrambled)));
+        auto const jitter = 1 + draw_spread * derived_draw(draw, index);
         auto const cost = this->expected_seconds(one, now) * jitter;
         if ((usable && !best_usable) || (usable == best_usable && cost < best_cost)) {
             best = id;
--- a/linnetlane/routing/pools_test.cpp
+++ b/linnetlane/routing/pools_test.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <cstddef>
 #include <map>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -147,6 +148,63 @@
     BOOST_TEST(pool.decode_candidates(3, 0.3, later).front().value == "e1");
 }
 
+// Returns how often the most frequent value of `choose`, which is called with uniform draws, occurs
+// as a multiple of the mean over `count` values.
+template <typename Choose>
+auto greatest_share(std::size_t count, Choose choose) -> double {
+    constexpr auto draws_per_value = 200;
+    auto random = std::mt19937{5};
+    auto chosen = std::map<base::upstream_id, int>{};
+    for (auto number = std::size_t{0}; number < count * draws_per_value; ++number) {
+        ++chosen[choose(std::uniform_real_distribution<double>{0, 1}(random))];
+    }
+    auto most = 0;
+    for (auto const& [id, times] : chosen) {
+        most = std::max(most, times);
+    }
+    return static_cast<double>(most) / draws_per_value;
+}
+
+BOOST_AUTO_TEST_CASE(hosts_without_reports_spread_generations_evenly_over_many_engines) {
+    auto reachability = data_centre_reachability{};
+    auto pool = generation_pool{reachability};
+    pool.set_members(make_engines(18, 65));
+    auto const decode = greatest_share(
+        65, [&](double draw) { return pool.decode_candidates(1, draw, start).front(); });
+    BOOST_TEST(decode < 1.5);
+    auto const prefill = greatest_share(
+        18, [&](double draw) { return pool.prefill_candidate({}, {}, draw, start).value(); });
+    BOOST_TEST(prefill < 1.5);
+}
+
+BOOST_AUTO_TEST_CASE(hosts_without_reports_spread_requests_evenly_over_plain_upstreams) {
+    auto reachability = data_centre_reachability{};
+    auto pool = plain_pool{reachability};
+    auto members = std::vector<upstream_record>{};
+    for (auto number = 0; number < 12; ++number) {
+        members.push_back(make_record("u" + std::to_string(number), "a", {}));
+    }
+    pool.set_members(members);
+    auto const share =
+        greatest_share(12, [&](double draw) { return pool.pick({}, draw, start).value(); });
+    BOOST_TEST(share < 1.5);
+}
+
+BOOST_AUTO_TEST_CASE(an_engine_without_a_current_report_counts_as_loaded_as_the_others) {
+    auto reachability = data_centre_reachability{};
+    auto pool = generation_pool{reachability};
+    pool.set_members(make_engines(4, 0));
+    pool.begin(base::upstream_id{"e3"}, base::token_count{5000});
+    pool.end(base::upstream_id{"e3"}, base::token_count{5000});
+    for (auto const* const id : {"e0", "e1"}) {
+        pool.note_load(base::upstream_id{id}, load_report{1, 3, 64}, start);
+    }
+    pool.note_load(base::upstream_id{"e2"}, load_report{1, 0, 64}, start);
+    // Two of the three reports show long queues, so an engine without one isn't better than the
+    // engine that reported a short queue.
+    BOOST_TEST(pool.prefill_candidate({}, {}, 0.5, start)->value == "e2");
+}
+
 BOOST_AUTO_TEST_CASE(a_prefill_engine_that_refuses_is_skipped) {
     auto reachability = data_centre_reachability{};
     auto pool = generation_pool{reachability};
--- a/linnetlane/routing/stage_balancer.cpp
+++ b/linnetlane/routing/stage_balancer.cpp
@@ -36,8 +36,7 @@
     std::erase_if(this->declined_until, [&](auto const& each) { return each.second <= now; });
     std::erase_if(this->ordered, [&](pending_change const& one) {
         auto const found = std::ranges::find(engines, one.change.engine, &upstream_record::id);
-        return one.effective_by <= now ||
-               (found != engines.end() && found->stage == one.change.to);
+        return one.effective_by <= now || (found != engines.end() && found->stage == one.change.to);
     });
     for (auto& engine : engines) {
         for (auto const& one : this->ordered) {
@@ -90,8 +89,8 @@
     }
     auto const severe = static_cast<double>(prefill) < severe_shortage_share * this->share.value *
                                                            static_cast<double>(engine_count);
-    auto const patience = severe ? base::duration{min_severe_shortage_time}
-                                 : base::duration{min_imbalance_time};
+    auto const patience =
+        severe ? base::duration{min_severe_shortage_time} : base::duration{min_imbalance_time};
     if (!lasted(this->shortage_since, patience, now) && prefill > 0) {
         return std::nullopt;
     }
