Router: eras of the store: positions, leases, fencing numbers and claims end with their era

Cause: the users' store may come back from a copy some seconds old. Revisions and leases are given out again, so a position, a lease or a fencing number of before could be taken for a later one in silence.

Ruled out: a reset of the process on a new era (requests under way don't depend on the store).

A position of another era is lost, a lease of another era is neither renewed nor ended, a claim is compared by era, revision and holder, and one made across a restoration is undone. The host logs the restoration, keeps upstreams that the copy lacks for the grace period, joins anew, and after a restoration or a start waits out the longest lease before its first order. Leaving is final for a process, so a copied record doesn't bring it back.

Not built: drills in the soak, model checking.

--- a/linnetlane/router/host_membership.h
+++ b/linnetlane/router/host_membership.h
@@ -216,6 +216,7 @@
         auto const deadline = asked_at + (this->host.view.feed.has_followers(asked_at)
                                               ? base::duration{followed_call_timeout}
                                               : base::duration{call_timeout});
+        this->note_era();
         if (this->lease) {
             auto const renewed = this->registry.renew(*this->lease, deadline);
             if (auto const* const ttl = std::get_if<base::duration>(&renewed)) {
@@ -245,6 +246,20 @@
         return true;
     }
 
+    // Ends the claim after the registry was restored from an older copy.
+    auto note_era() -> void {
+        auto const era = this->registry.era();
+        if (era == this->known_era) {
+            return;
+        }
+        if (this->known_era.value != 0) {
+            this->claim.reset();
+            this->claims_uncertain_until =
+                base::monotonic_clock::now() + lease_ttl + takeover_margin;
+        }
+        this->known_era = era;
+    }
+
     auto log_registered() const -> void {
         this->host.log.write(
             telemetry::log_level::info, "registered",
@@ -261,10 +276,14 @@
         if (fence == nullptr || !*fence) {
             return;
         }
-        auto const wait = this->is_first_claim_of_fleet()
-                              ? base::duration::zero()
-                              : base::duration{this->host.settings.order_lease + takeover_margin};
-        this->claim = order_giver_claim{**fence, base::monotonic_clock::now() + wait};
+        this->note_era();
+        auto const now = base::monotonic_clock::now();
+        auto const wait =
+            this->is_first_claim_of_fleet()
+                ? base::duration::zero()
+                : std::max<base::duration>(this->host.settings.order_lease + takeover_margin,
+                                           this->claims_uncertain_until - now);
+        this->claim = order_giver_claim{**fence, now + wait};
         this->host.log.write(telemetry::log_level::info, "order giver claim acquired",
                              {**fence, {"first_order_after", wait}});
     }
@@ -285,8 +304,9 @@
     // Returns whether the registry confirms that this host is the order giver. Drops the claim if
     // the registry denies it.
     auto confirm_claim() -> bool {
-        auto const held = this->registry.is_claim_in_force(
-            this->claim->fence, base::monotonic_clock::now() + call_timeout);
+        auto const held =
+            this->registry.is_claim_in_force(this->host.settings.host, this->claim->fence,
+                                             base::monotonic_clock::now() + call_timeout);
         auto const* const answer = std::get_if<bool>(&held);
         if (answer != nullptr && !*answer) {
             this->host.log.write(telemetry::log_level::warning, "order giver claim lost",
@@ -423,6 +443,10 @@
     int first_steps = 0;
     std::map<base::service_id, routing::stage_balancer> balancers;
     base::time_point started_at = base::monotonic_clock::now();
+    registry_era known_era;
+    // Until this time an earlier order giver may hold a lease that the registry has forgotten:
+    // after a restoration, of which a process that has just started doesn't know.
+    base::time_point claims_uncertain_until = started_at + lease_ttl + takeover_margin;
     bool leaving = false;
 };
 
--- a/linnetlane/router/messages.h
+++ b/linnetlane/router/messages.h
@@ -156,7 +156,10 @@
 
 // ---- Registry ----
 
-// A position in the sequence of the registry's changes.
+// Counts the times that the registry was restored from an older copy of itself, if it states that;
+// otherwise 0. After a restoration, positions, leases and fencing numbers are given out again.
+using registry_era = base::basic_number<struct registry_era_tag>;
+// A position in the sequence of the registry's changes. Positions of a later era are greater.
 using registry_position = base::basic_number<struct registry_position_tag>;
 // A lease that a host's entries in the registry are bound to.
 using registry_lease = base::basic_number<struct registry_lease_tag>;
@@ -262,6 +265,9 @@
     {
         registry.await_upstreams(position, wait, deadline)
         } -> std::same_as<base::result<upstream_changes, registry_failure>>;
+    // Returns the newest era that an answer stated. Answers of older eras count as `unavailable`.
+    // After a change of the era, positions return `history_lost` and leases return `lease_ended`.
+    { registry.era() } -> std::same_as<registry_era>;
     // Ends the calls that wait for changes. They return `unavailable`.
     {registry.interrupt_waits()};
     // Acquires a lease of length `wait` and registers this host.
@@ -282,9 +288,9 @@
     {
         registry.claim_order_giver(host, lease, deadline)
         } -> std::same_as<base::result<std::optional<base::fencing_number>, registry_failure>>;
-    // Returns whether the claim with that fencing number is still in force.
+    // Returns whether the claim of `host` with that fencing number is still in force.
     {
-        registry.is_claim_in_force(base::fencing_number{}, deadline)
+        registry.is_claim_in_force(host, base::fencing_number{}, deadline)
         } -> std::same_as<base::result<bool, registry_failure>>;
     {
         registry.leave(lease, deadline)
--- a/linnetlane/router/registry_follower.h
+++ b/linnetlane/router/registry_follower.h
@@ -334,12 +334,28 @@
 
     auto note_registry_answered() -> void {
         auto& view = this->host.view;
+        this->note_era();
         this->outages.succeeded();
         view.upstreams.note_available(base::monotonic_clock::now());
         view.relays.note_success(view.relays.own_entry().host);
         view.feed.set_lost_registry(false);
     }
 
+    auto note_era() -> void {
+        auto const era = this->registry.era();
+        if (era == this->known_era) {
+            return;
+        }
+        if (this->known_era.value != 0) {
+            this->host.log.write(telemetry::log_level::warning,
+                                 "registry was restored from an older copy",
+                                 {{"era", static_cast<std::int64_t>(era.value)}});
+            // The copy may lack live upstreams, which register again.
+            this->host.view.upstreams.note_outage();
+        }
+        this->known_era = era;
+    }
+
     auto refresh_order_if_due() -> void {
         if (base::monotonic_clock::now() >= this->next_order_refresh) {
             this->refresh_order();
@@ -562,6 +578,7 @@
     // The host that changes are read from; empty if there is none.
     base::host_id followed;
     base::time_point next_order_refresh = base::time_point::min();
+    registry_era known_era;
 };
 
 }  // namespace linnetlane::router
--- a/linnetlane/routing/upstream_set.cpp
+++ b/linnetlane/routing/upstream_set.cpp
@@ -50,6 +50,9 @@
         this->drop_at.erase(id);
         this->records.erase(id);
     }
+    if (this->has_left(record)) {
+        return record_change::ignored;
+    }
     auto const outdated = std::ranges::any_of(this->records, [&](auto const& entry) {
         auto const& other = entry.second;
         return other.id != record.id && other.address == record.address &&
@@ -68,7 +71,10 @@
         return record_change::none;
     }
     auto const restarted = known.started != record.started || !(known.address == record.address);
+    // Without a start, a later process can't be told from an earlier one.
+    auto const stays_leaving = known.leaving && !restarted && record.started.value != 0;
     known = record;
+    known.leaving = known.leaving || stays_leaving;
     return restarted ? record_change::restarted : record_change::updated;
 }
 
@@ -90,12 +96,16 @@
         this->drop_at.try_emplace(id, this->grace_until);
         return false;
     }
+    if (found->second.leaving && found->second.started.value != 0) {
+        this->departed[id] = departure{found->second.started, now + departure_memory};
+    }
     this->drop_at.erase(id);
     this->records.erase(found);
     return true;
 }
 
 auto upstream_set::expire(base::time_point now) -> std::vector<base::upstream_id> {
+    std::erase_if(this->departed, [&](auto const& each) { return each.second.forget_at <= now; });
     auto dropped = std::vector<base::upstream_id>{};
     std::erase_if(this->drop_at, [&](auto const& entry) {
         if (entry.second > now) {
@@ -118,6 +128,11 @@
     return listed;
 }
 
+auto upstream_set::has_left(upstream_record const& record) const -> bool {
+    auto const found = this->departed.find(record.id);
+    return found != this->departed.end() && found->second.started == record.started;
+}
+
 auto upstream_set::find(base::upstream_id const& id) const -> upstream_record const* {
     auto const found = this->records.find(id);
     return found == this->records.end() ? nullptr : &found->second;
--- a/linnetlane/routing/upstream_set.h
+++ b/linnetlane/routing/upstream_set.h
@@ -11,6 +11,9 @@
 //
 // A record that is missing right after an outage of the registry is kept for a grace period, since
 // live upstreams need some time to register again. Upstreams that were leaving get no grace period.
+//
+// Leaving is final for a process. A registry that was restored from an older copy may show it as
+// ready again.
 
 #ifndef LINNETLANE_ROUTING_UPSTREAM_SET_H_
 #define LINNETLANE_ROUTING_UPSTREAM_SET_H_
@@ -56,6 +59,9 @@
 // within two seconds, plus the jitter of one heartbeat.
 inline constexpr auto reregistration_grace = std::chrono::milliseconds{2200};
 
+// How long the registry may show a process that has left as ready after a restoration.
+inline constexpr auto departure_memory = std::chrono::seconds{60};
+
 // Not thread-safe; must be used on one worker only.
 class upstream_set {
 public:
@@ -76,6 +82,8 @@
     // Adds or updates `record`, and drops the record that it supersedes. Ignores `record` if one
     // with another id has the same address and a later start.
     auto put(upstream_record const& record) -> record_change;
+    // Returns whether the process of `record` was leaving when its record was dropped.
+    [[nodiscard]] auto has_left(upstream_record const& record) const -> bool;
     // Returns a record with another id, the same address as `record` and an earlier start, or null.
     [[nodiscard]] auto superseded_by(upstream_record const& record) const -> upstream_record const*;
     // Handles the removal of a record from the registry. Returns whether the upstream was dropped
@@ -98,6 +106,12 @@
     std::map<base::upstream_id, upstream_record> records;
     // The times at which missing records are dropped.
     std::map<base::upstream_id, base::time_point> drop_at;
+    struct departure {
+        base::incarnation started;
+        base::time_point forget_at;
+    };
+    // Processes that were leaving when their records were dropped.
+    std::map<base::upstream_id, departure> departed;
     // The end of the grace period for missing records.
     base::time_point grace_until = base::time_point::min();
     bool outage = false;
--- a/linnetlane/routing/upstream_set_test.cpp
+++ b/linnetlane/routing/upstream_set_test.cpp
@@ -65,6 +65,29 @@
     BOOST_TEST(set.remove(base::upstream_id{"a"}, start));
 }
 
+BOOST_AUTO_TEST_CASE(a_process_that_was_leaving_is_never_ready_again) {
+    auto known = upstream_set{};
+    auto record = upstream_record{};
+    record.id.value = "u1";
+    record.address = {"10.0.0.1", 1};
+    record.started.value = 7;
+    record.leaving = true;
+    known.replace_all({record}, start);
+    // A registry that was restored from an older copy shows the process as ready.
+    record.leaving = false;
+    known.put(record);
+    BOOST_REQUIRE(known.find(record.id) != nullptr);
+    BOOST_TEST(known.find(record.id)->leaving);
+    known.remove(record.id, start);
+    known.put(record);
+    BOOST_TEST(known.find(record.id) == nullptr);
+    // A later process under the same id is another one.
+    record.started.value = 8;
+    known.put(record);
+    BOOST_REQUIRE(known.find(record.id) != nullptr);
+    BOOST_TEST(!known.find(record.id)->leaving);
+}
+
 BOOST_AUTO_TEST_CASE(a_restart_under_the_same_id_is_distinguished_from_an_update) {
     auto set = upstream_set{};
     auto record = make_record("a");
