--- a/linnetlane/routing/generation_pool.h
+++ b/linnetlane/routing/generation_pool.h
@@ -103,12 +103,6 @@
     [[nodiscard]] auto tokens_under_way(base::upstream_id const& id, base::time_point now) const
         -> double;
 
-    // Returns the expected time until an engine has prefilled everything that is under way there.
-    [[nodiscard]] auto prefill_queue_time(base::upstream_id const& id, base::time_point now) const
-        -> base::duration {
-        return base::from_seconds(this->tokens_under_way(id, now) * this->seconds_per_token);
-    }
-
     // Records that an engine had too little free memory for a reservation or refused a prefill.
     auto note_full(base::upstream_id const& id, base::time_point now) -> void;
     // Records that another process, or an engine of another stage, answered at its address.
