Relays: a follower keeps missing upstreams no longer than the host that it follows

A followed host that had been cut off was in its grace period and said so with each answer; its follower began a grace period of its own with each of them, up to 2.2 s after the last, and kept an upstream that left in between (traced in the log of frontend-kalutara-2).

Ruled out: the pause between reads of changes (the followed host knew 0.3 s after the store).

Change: the followed host states how much of its period is left, and the follower keeps to that.

Test: with a period begun by each answer, the follower of the new test keeps the record.

--- a/linnetlane/protocol/router.thrift
+++ b/linnetlane/protocol/router.thrift
@@ -116,6 +116,7 @@
     7: optional i64 hosts,
     // The hosts to follow, in this order, beginning with the sender.
     8: optional list<host> relays,
-    // The registry was unavailable a moment ago, so removed upstreams may register again.
-    9: optional bool after_outage,
+    // How much longer removed upstreams are kept, since they may register again after an outage of
+    // the registry.
+    9: optional i64 grace_left,
 }
--- a/linnetlane/router/host.h
+++ b/linnetlane/router/host.h
@@ -176,7 +176,7 @@
             update.complete = true;
             update.upstreams.put = this->view.upstreams.registered();
         }
-        update.after_outage = this->view.upstreams.in_grace(now);
+        update.grace_left = this->view.upstreams.grace_left(now);
         update.hosts = this->view.known_hosts();
         update.relays = std::move(relays);
         return update;
--- a/linnetlane/router/peer_codec.cpp
+++ b/linnetlane/router/peer_codec.cpp
@@ -148,7 +148,7 @@
         out.removed.push_back(id.value);
     }
     out.__set_complete(update.complete);
-    out.__set_after_outage(update.after_outage);
+    out.__set_grace_left(microseconds_of(update.grace_left));
     out.__set_hosts(static_cast<std::int64_t>(update.hosts));
     auto relays = std::vector<peer_wire::host>{};
     for (auto const& host : update.relays) {
@@ -322,7 +322,7 @@
             from_wire(std::move(in->newer_configuration)));
     }
     update.complete = in->__isset.complete && in->complete;
-    update.after_outage = in->__isset.after_outage && in->after_outage;
+    update.grace_left = in->__isset.grace_left ? span(in->grace_left) : base::duration{};
     update.hosts = in->__isset.hosts ? amount(in->hosts) : 0;
     for (auto& host : in->relays) {
         if (auto entry = from_wire(std::move(host))) {
--- a/linnetlane/router/peer_codec.h
+++ b/linnetlane/router/peer_codec.h
@@ -36,8 +36,9 @@
     std::shared_ptr<routing::configuration const> configuration;
     // `upstreams.put` holds all upstreams.
     bool complete = false;
-    // The registry was unavailable a moment ago, so removed upstreams may register again.
-    bool after_outage = false;
+    // How much longer the answering host keeps removed upstreams, since they may register again
+    // after an outage of the registry.
+    base::duration grace_left{};
     // The number of hosts of all data centres; 0 if not known.
     std::size_t hosts = 0;
     // The hosts to follow, in this order.
--- a/linnetlane/router/peers_test.cpp
+++ b/linnetlane/router/peers_test.cpp
@@ -124,7 +124,7 @@
         auto update =
             registry_update{changes, std::make_shared<routing::configuration const>(configuration)};
         update.complete = *rc::gen::arbitrary<bool>();
-        update.after_outage = *rc::gen::arbitrary<bool>();
+        update.grace_left = any_span();
         update.hosts = *rc::gen::inRange<std::size_t>(0, 1000);
         update.relays = {relay("h1", 120), relay("h2", 500)};
         auto const back = decode_answer(encode(changes_answer{update}));
@@ -135,7 +135,7 @@
         RC_ASSERT(upstreams.position == changes.position);
         RC_ASSERT(*base::value_of(back).configuration == configuration);
         RC_ASSERT(base::value_of(back).complete == update.complete);
-        RC_ASSERT(base::value_of(back).after_outage == update.after_outage);
+        RC_ASSERT(base::value_of(back).grace_left == update.grace_left);
         RC_ASSERT(base::value_of(back).hosts == update.hosts);
         RC_ASSERT(base::value_of(back).relays == update.relays);
     }));
--- a/linnetlane/router/registry_follower.h
+++ b/linnetlane/router/registry_follower.h
@@ -417,9 +417,7 @@
             view.note_hosts(update.hosts, base::monotonic_clock::now());
         }
         this->on_configuration(update.configuration);
-        if (update.after_outage) {
-            view.upstreams.begin_grace(base::monotonic_clock::now());
-        }
+        view.upstreams.extend_grace(base::monotonic_clock::now(), update.grace_left);
         if (update.complete) {
             this->apply_listing(update.upstreams.put);
             view.feed.restart(update.upstreams.position);
--- a/linnetlane/routing/upstream_set.cpp
+++ b/linnetlane/routing/upstream_set.cpp
@@ -20,6 +20,13 @@
     this->grace_until = now + reregistration_grace;
 }
 
+auto upstream_set::extend_grace(base::time_point now, base::duration left) -> void {
+    if (left > base::duration::zero()) {
+        this->outage = false;
+        this->grace_until = std::max(this->grace_until, now + left);
+    }
+}
+
 auto upstream_set::replace_all(std::vector<upstream_record> const& listed, base::time_point now)
     -> std::vector<base::upstream_id> {
     this->note_available(now);
--- a/linnetlane/routing/upstream_set.h
+++ b/linnetlane/routing/upstream_set.h
@@ -71,9 +71,13 @@
     auto note_available(base::time_point now) -> void;
     // Starts the grace period, in which missing records are kept.
     auto begin_grace(base::time_point now) -> void;
-    [[nodiscard]] auto in_grace(base::time_point now) const -> bool {
-        return now < this->grace_until;
+    // Returns how much longer missing records are kept, at least 0.
+    [[nodiscard]] auto grace_left(base::time_point now) const -> base::duration {
+        return now < this->grace_until ? this->grace_until - now : base::duration::zero();
     }
+    // Keeps missing records for `left`, the rest of another host's grace period. An outage that
+    // this host noticed itself counts as ended if there is such a rest.
+    auto extend_grace(base::time_point now, base::duration left) -> void;
     // Applies a full listing; after an outage, begins the grace period first. Returns the upstreams
     // that were dropped because the listing lacks them, without those that `put` replaced by a
     // later process at the same address.
--- a/linnetlane/routing/upstream_set_test.cpp
+++ b/linnetlane/routing/upstream_set_test.cpp
@@ -65,6 +65,26 @@
     BOOST_TEST(set.remove(base::upstream_id{"a"}, start));
 }
 
+// A followed host states with each answer how much of its grace period is left. If each answer
+// began a new one, an upstream that leaves after the followed host's period would be kept too long.
+BOOST_AUTO_TEST_CASE(a_follower_keeps_missing_records_as_long_as_the_followed_host) {
+    auto followed = upstream_set{};
+    auto follower = upstream_set{};
+    auto record = upstream_record{};
+    record.id.value = "u1";
+    record.address = {"10.0.0.1", 1};
+    followed.replace_all({record}, start);
+    follower.replace_all({record}, start);
+    BOOST_TEST((followed.grace_left(start) == base::duration::zero()));
+    followed.begin_grace(start);
+    auto now = start;
+    for (; now < start + reregistration_grace; now += std::chrono::milliseconds{400}) {
+        follower.extend_grace(now, followed.grace_left(now));
+    }
+    BOOST_TEST(followed.remove(record.id, now));
+    BOOST_TEST(follower.remove(record.id, now));
+}
+
 BOOST_AUTO_TEST_CASE(a_process_that_was_leaving_is_never_ready_again) {
     auto known = upstream_set{};
     auto record = upstream_record{};
