--- a/linnetlane/router/routing_view_test.cpp
+++ b/linnetlane/router/routing_view_test.cpp
@@ -1,8 +1,10 @@
-// Tests of the number of hosts that share the budgets.
+// Tests of the number of hosts that share the budgets and of the hosts that may be followed.
 
 #include "linnetlane/router/routing_view.h"
+#include "linnetlane/router/registry_follower.h"
 
 #include <chrono>
+#include <string>
 
 #include <boost/test/unit_test.hpp>
 
@@ -46,5 +48,21 @@
     BOOST_TEST(view.hosts == 3U);
 }
 
+BOOST_AUTO_TEST_CASE(only_hosts_of_the_same_data_centre_are_followed) {
+    auto listing = host_listing{};
+    for (auto const* const data_centre : {"a", "b", "a"}) {
+        auto entry = host_entry{};
+        entry.host.value = "h" + std::to_string(listing.hosts.size());
+        entry.data_centre.value = data_centre;
+        listing.hosts.push_back(registered_host{entry, 0});
+    }
+    auto self = host_entry{};
+    self.data_centre.value = "a";
+    auto const found = hosts_of(listing, self);
+    BOOST_REQUIRE(found.size() == 2U);
+    BOOST_TEST(found[0].host.value == "h0");
+    BOOST_TEST(found[1].host.value == "h2");
+}
+
 }  // namespace
 }  // namespace linnetlane::router
--- a/linnetlane/router/settings_test.cpp
+++ b/linnetlane/router/settings_test.cpp
@@ -10,6 +10,7 @@
 auto const whole = std::string{R"(
 host = "h1"
 data_centre = "a"
+processor_share = 0.12
 [listen]
 callers = "127.0.0.1:1"
 operators = "127.0.0.1:2"
@@ -32,6 +33,7 @@
     BOOST_TEST(read->host.value == "h1");
     BOOST_TEST(base::to_seconds(read->order_lease) == 3.0);
     BOOST_TEST(read->first_start);
+    BOOST_TEST(read->processor_share.value == 0.12);
     BOOST_TEST(read->retries.slack == 54.0);
     BOOST_TEST(base::to_seconds(read->leaving.grace) == 8.0);
 }
--- a/linnetlane/routing/pools_test.cpp
+++ b/linnetlane/routing/pools_test.cpp
@@ -305,9 +305,10 @@
 BOOST_AUTO_TEST_CASE(surplus_prefill_engines_are_changed_during_startup_once_all_have_registered) {
     auto balancer = stage_balancer{base::fraction{0.22}, start + std::chrono::seconds{8}};
     auto engines = make_engines(5, 9);
-    settle(balancer, engines, start);
+    auto const early = settle(balancer, engines, start);
     BOOST_TEST(count_stage(engines, engine_stage::prefill) >= 3U);
-    settle(balancer, engines, start + stage_balancer::registration_gap);
+    auto const later = settle(balancer, engines, start + stage_balancer::registration_gap);
+    BOOST_TEST(early + later == 2U);
     BOOST_TEST(count_stage(engines, engine_stage::prefill) == 3U);
 }
 
