Observability: software versions of upstreams, and which stream a request resumes

The version wasn't read from the registry at all. Change: the record of an upstream holds its software version, which is read from the registry, passed on to followers (a new optional field) and logged; a caller's request says which stream it resumes. No decision uses either yet.

--- a/linnetlane/base/ids.h
+++ b/linnetlane/base/ids.h
@@ -51,6 +51,8 @@
 using data_centre_id = basic_name<struct data_centre_tag>;
 // A back end: a model engine or a plain service instance.
 using upstream_id = basic_name<struct upstream_tag>;
+// The version of an upstream's software, which differs from that of its model weights.
+using software_version = basic_name<struct software_version_tag>;
 // A service, as its document names it.
 using service_id = basic_name<struct service_tag>;
 // An account that sends requests.
--- a/linnetlane/protocol/router.thrift
+++ b/linnetlane/protocol/router.thrift
@@ -22,6 +22,7 @@
     7: i64 slots,
     8: bool leaving,
     9: i32 stage,
+    10: optional string software_version,
 }
 
 struct weighted_service {
--- a/linnetlane/router/generation_forwarder.h
+++ b/linnetlane/router/generation_forwarder.h
@@ -431,6 +431,7 @@
     auto relay_stream(decode_reservation const& reserved, opened_answer& opened) -> attempt_result {
         auto const outcome = this->relay.run(opened);
         this->decoded_at = reserved.engine.id;
+        this->decoded_by = reserved.engine.software;
         auto const interrupted = outcome == relay_outcome::interrupted;
         this->context.state().generation.note_outcome(
             reserved.engine.id,
@@ -513,6 +514,12 @@
         return refuse<Wire>(this->context, refused);
     }
 
+    [[nodiscard]] auto software_of(base::upstream_id const& engine) const
+        -> base::software_version {
+        auto const* const record = this->context.host.view.upstreams.find(engine);
+        return record == nullptr ? base::software_version{} : record->software;
+    }
+
     // `status` is the status of the engine's answer, or 0 if there was none.
     auto log_step(base::upstream_id const& engine, telemetry::literal what, int status = 0) const
         -> void {
@@ -521,6 +528,7 @@
             {this->context.caller.id,
              this->context.service,
              engine,
+             telemetry::field::named("software", this->software_of(engine)),
              {"what", what},
              {"status", static_cast<std::int64_t>(status)},
              telemetry::field::named("prefilled_at", this->prefilled_at),
@@ -537,6 +545,9 @@
              {"prefills", static_cast<std::int64_t>(this->prefills)},
              telemetry::field::named("prefilled_at", this->prefilled_at),
              telemetry::field::named("decoded_at", this->decoded_at),
+             telemetry::field::named("software", this->decoded_by),
+             telemetry::field::named("resumes", this->context.caller.resumed_request.value_or(
+                                                    base::caller_request_id{})),
              {"first_event_after", this->relay.first_bytes_at().value_or(this->context.arrived) -
                                        this->context.arrived}});
     }
@@ -557,6 +568,7 @@
     int prefill_status = 0;
     base::upstream_id prefilled_at;
     base::upstream_id decoded_at;
+    base::software_version decoded_by;
     attempt_result reservation_failure = attempt_result::no_capacity;
     attempt_result prefill_failure = attempt_result::unreachable;
 };
--- a/linnetlane/router/messages.h
+++ b/linnetlane/router/messages.h
@@ -36,6 +36,10 @@
     std::string host;
     // The time that the caller allows from the arrival on, if stated.
     std::optional<base::duration> timeout;
+    // Set if the request resumes a stream that the caller has received in part: the caller's
+    // request that the stream's first event answered, if it is stated.
+    bool resumes = false;
+    std::optional<base::caller_request_id> resumed_request;
     // Set for prompts that state their size.
     std::optional<routing::generation_size> size;
     // The request to forward: method, target and body unchanged, with the fields to pass on.
--- a/linnetlane/router/peer_codec.cpp
+++ b/linnetlane/router/peer_codec.cpp
@@ -52,6 +52,7 @@
     out.__set_address(record.address.address);
     out.__set_port(record.address.port);
     out.__set_data_centre(record.data_centre.value);
+    out.__set_software_version(record.software.value);
     out.__set_started(static_cast<std::int64_t>(record.started.value));
     out.__set_slots(static_cast<std::int64_t>(record.slots));
     out.__set_leaving(record.leaving);
@@ -183,6 +184,7 @@
     record.service.value = std::move(in.service_name);
     record.address = {std::move(in.address), static_cast<std::uint16_t>(in.port)};
     record.data_centre.value = std::move(in.data_centre);
+    record.software.value = std::move(in.software_version);
     record.started.value = static_cast<std::uint64_t>(in.started);
     record.slots = static_cast<std::size_t>(in.slots);
     record.leaving = in.leaving;
--- a/linnetlane/router/peers_test.cpp
+++ b/linnetlane/router/peers_test.cpp
@@ -28,6 +28,7 @@
     record.service.value = *rc::gen::element<std::string>("llm", "app");
     record.address = {"10.0.0.1", *rc::gen::inRange<std::uint16_t>(1, 65'535)};
     record.data_centre.value = *rc::gen::element<std::string>("a", "b", "");
+    record.software.value = *rc::gen::element<std::string>("v1", "v1.2", "");
     record.started.value = *rc::gen::inRange<std::uint64_t>(0, 1'800'000'000'000);
     record.slots = *rc::gen::inRange<std::size_t>(0, 100);
     record.leaving = *rc::gen::arbitrary<bool>();
--- a/linnetlane/router/plain_forwarder.h
+++ b/linnetlane/router/plain_forwarder.h
@@ -261,6 +261,7 @@
             {this->context.caller.id,
              this->context.service,
              target.id,
+             telemetry::field::named("software", target.software),
              {"what", what},
              {"tries", static_cast<std::int64_t>(this->sends)},
              {"age", base::monotonic_clock::now() - this->context.arrived}});
--- a/linnetlane/router/registry_follower.h
+++ b/linnetlane/router/registry_follower.h
@@ -535,13 +535,14 @@
             this->host.view.forget_load(record.id);
         }
         auto const changed = known == nullptr || restarted || known->leaving != record.leaving ||
-                             known->stage != record.stage;
+                             known->stage != record.stage || known->software != record.software;
         if (changed) {
             this->host.log.write(telemetry::log_level::info, "upstream changed",
                                  {record.id,
                                   record.service,
                                   record.address,
                                   record.data_centre,
+                                  telemetry::field::named("software", record.software),
                                   {"new", known == nullptr},
                                   {"restarted", restarted},
                                   {"leaving", record.leaving},
--- a/linnetlane/routing/upstream_set.h
+++ b/linnetlane/routing/upstream_set.h
@@ -39,6 +39,9 @@
     base::service_id service;
     base::endpoint address;
     base::data_centre_id data_centre;
+    // Empty if the registry doesn't state it. Differs between the processes of a service during a
+    // rollout.
+    base::software_version software;
     // Distinguishes processes with the same id or address; a later start has a higher value.
     base::incarnation started;
     // The number of requests that the upstream runs concurrently.
