Routing: an interrupted stream goes on only at the software version that began it

What callers saw: one answer with events of two software versions, after an engine crashed in a rollout. Cause: the host that continues a stream asked every decode engine for a reservation; a record had no version. Ruled out: plain streams, which a host never continues within one answer. Change: the version of the engine whose stream was relayed restricts the engines of the following attempts. If none of that version is left, the answer is cut off, so that the caller knows that it is incomplete. Conclusion: fixed within one answer; a caller that resumes with a new request is another fault.

--- a/linnetlane/router/generation_forwarder.h
+++ b/linnetlane/router/generation_forwarder.h
@@ -119,7 +119,7 @@
         auto& view = this->context.host.view;
         auto const candidates =
             pool.decode_candidates(this->context.host.settings.generation.engines_asked,
-                                   view.draw(), base::monotonic_clock::now());
+                                   view.draw(), base::monotonic_clock::now(), this->required);
         this->reservation_failure =
             candidates.empty() ? attempt_result::unreachable : attempt_result::no_capacity;
         auto const reserve_until =
@@ -431,7 +431,7 @@
     auto relay_stream(decode_reservation const& reserved, opened_answer& opened) -> attempt_result {
         auto const outcome = this->relay.run(opened);
         this->decoded_at = reserved.engine.id;
-        this->decoded_by = reserved.engine.software;
+        this->required = reserved.engine.software;
         auto const interrupted = outcome == relay_outcome::interrupted;
         this->context.state().generation.note_outcome(
             reserved.engine.id,
@@ -545,7 +545,7 @@
              {"prefills", static_cast<std::int64_t>(this->prefills)},
              telemetry::field::named("prefilled_at", this->prefilled_at),
              telemetry::field::named("decoded_at", this->decoded_at),
-             telemetry::field::named("software", this->decoded_by),
+             telemetry::field::named("software", this->required.value_or(base::software_version{})),
              telemetry::field::named("resumes", this->context.caller.resumed_request.value_or(
                                                     base::caller_request_id{})),
              {"first_event_after", this->relay.first_bytes_at().value_or(this->context.arrived) -
@@ -568,7 +568,8 @@
     int prefill_status = 0;
     base::upstream_id prefilled_at;
     base::upstream_id decoded_at;
-    base::software_version decoded_by;
+    // The software version of the engine that began the stream. The stream may go on only there.
+    std::optional<base::software_version> required;
     attempt_result reservation_failure = attempt_result::no_capacity;
     attempt_result prefill_failure = attempt_result::unreachable;
 };
--- a/linnetlane/routing/generation_pool.cpp
+++ b/linnetlane/routing/generation_pool.cpp
@@ -50,12 +50,14 @@
         auto& one = this->members[record.id];
         one.stage = *record.stage;
         one.data_centre = record.data_centre;
+        one.software = record.software;
         one.leaving = record.leaving;
     }
     std::erase_if(this->members, [&](auto const& entry) { return !listed.contains(entry.first); });
 }
 
-auto generation_pool::decode_candidates(std::size_t limit, double draw, base::time_point now) const
+auto generation_pool::decode_candidates(std::size_t limit, double draw, base::time_point now,
+                                        std::optional<base::software_version> const& required) const
     -> std::vector<base::upstream_id> {
     using ranked = std::tuple<bool, bool, double, base::upstream_id>;
     auto order = std::vector<ranked>{};
@@ -63,7 +65,8 @@
     auto const usual = this->usual_others(engine_stage::decode, now);
     for (auto const& [id, one] : this->members) {
         ++index;
-        if (one.leaving || one.stage != engine_stage::decode) {
+        if (one.leaving || one.stage != engine_stage::decode ||
+            (required && one.software != *required)) {
             continue;
         }
         auto const cost = this->load_of(one, usual, now) +
--- a/linnetlane/routing/generation_pool.h
+++ b/linnetlane/routing/generation_pool.h
@@ -71,9 +71,12 @@
     auto forget(base::upstream_id const& id) -> void { this->members.erase(id); }
 
     // Returns at most `limit` decode engines to ask for a reservation, the best first. `draw` from
-    // [0, 1) varies the order of engines with similar load.
-    [[nodiscard]] auto decode_candidates(std::size_t limit, double draw, base::time_point now) const
-        -> std::vector<base::upstream_id>;
+    // [0, 1) varies the order of engines with similar load. A stream that has begun may go on only
+    // at the software version that began it; if `required` is set, only engines of that version are
+    // returned.
+    [[nodiscard]] auto decode_candidates(std::size_t limit, double draw, base::time_point now,
+                                         std::optional<base::software_version> const& required =
+                                             std::nullopt) const -> std::vector<base::upstream_id>;
     // Returns the prefill engine outside of `tried` that is expected to finish a prompt first, or
     // nothing if there is none. Prefers the data centre of `destination`, the decode engine that
     // receives the result, if the expected times are similar.
@@ -121,6 +124,7 @@
     struct member {
         engine_stage stage = engine_stage::decode;
         base::data_centre_id data_centre;
+        base::software_version software;
         bool leaving = false;
         // The tokens and requests of this host that are under way at the engine.
         base::token_count under_way;
--- a/linnetlane/routing/pools_test.cpp
+++ b/linnetlane/routing/pools_test.cpp
@@ -135,6 +135,25 @@
                boost::test_tools::tolerance(0.01));
 }
 
+BOOST_AUTO_TEST_CASE(a_stream_that_has_begun_is_offered_only_to_engines_of_its_software_version) {
+    auto reachability = data_centre_reachability{};
+    auto pool = generation_pool{reachability};
+    auto engines = make_engines(1, 4);
+    for (auto& each : engines) {
+        each.software.value = each.id.value == "e2" || each.id.value == "e4" ? "v2" : "v1";
+    }
+    pool.set_members(engines);
+    // Neither a lack of room nor failures let another version take the stream.
+    pool.note_full(base::upstream_id{"e2"}, start);
+    pool.note_outcome(base::upstream_id{"e4"}, exchange_outcome::transport_failure, start);
+
+    auto offered = pool.decode_candidates(4, 0.3, start, base::software_version{"v2"});
+    std::ranges::sort(offered);
+    BOOST_TEST((offered == std::vector{base::upstream_id{"e2"}, base::upstream_id{"e4"}}));
+    BOOST_TEST(pool.decode_candidates(4, 0.3, start, base::software_version{"v3"}).empty());
+    BOOST_TEST(pool.decode_candidates(4, 0.3, start).size() == 4U);
+}
+
 BOOST_AUTO_TEST_CASE(an_engine_without_room_is_ranked_last_for_a_while) {
     auto reachability = data_centre_reachability{};
     auto pool = generation_pool{reachability};
