Router: a resumed stream goes on only at the software version that began it

Cause: the version that began a stream was known to nobody. The host that receives the new request is often another one, since streams break off when their host is lost, and it placed the request like any other. Ruled out: asking other hosts, since the one that knows is lost; hashing callers to versions, since the mapping changes with each step of a rollout. Change: while a service has several versions, the host that begins a resumable stream records its version in the store, under a lease, in batches beside the prefill. A host that gets a resumed stream uses its own memory, the record, or what version_history says of streams without one; with neither, it refuses the request as not run. Resumed streams aren't held back by the prefill limiter, as those that a host continues. Conclusion: the same pinning now holds within an answer and over a caller's tries, for generations and plain streams. While the store is away in a rollout, streams that lose their host can't be resumed.

--- a/linnetlane/router/generation_forwarder.h
+++ b/linnetlane/router/generation_forwarder.h
@@ -40,7 +40,7 @@
     static constexpr auto max_tries = 3;
 
     explicit generation_forwarder(request_context const& own_context)
-        : context{own_context}, relay{own_context} {}
+        : context{own_context}, relay{own_context}, required{own_context.required} {}
 
     // Returns after the caller has been answered or has left.
     auto run() -> request_result {
@@ -91,6 +91,7 @@
         if (!reserved) {
             return this->reservation_failure;
         }
+        this->note_origin(reserved->engine);
         auto& pool = this->context.state().generation;
         pool.begin(reserved->engine.id, this->reserved_tokens());
         auto const result = this->prefill_and_decode(*reserved);
@@ -98,6 +99,15 @@
         return result;
     }
 
+    // A resumed stream is known by the request that began it.
+    auto note_origin(routing::upstream_record const& engine) -> void {
+        if (this->context.route.resumable && !this->required) {
+            this->context.host.view.note_stream(this->context.service,
+                                                {this->context.caller.id, engine.software},
+                                                base::monotonic_clock::now());
+        }
+    }
+
     auto prefill_and_decode(decode_reservation const& reserved) -> attempt_result {
         auto const source = this->prefill(reserved.engine.id);
         if (!source) {
@@ -210,7 +220,7 @@
     // Returns whether this host may start a prefill while the engines are overloaded. A stream that
     // has begun is always continued.
     auto prefill_is_admitted() -> bool {
-        if (this->relay.started()) {
+        if (this->required) {
             return true;
         }
         auto const now = base::monotonic_clock::now();
@@ -557,6 +567,8 @@
 
     request_context const& context;
     stream_relay<Wire> relay;
+    // The software version that began the stream, if it has begun. It may go on only there.
+    std::optional<base::software_version> required;
     std::size_t engines_asked = 0;
     std::size_t prefills = 0;
     std::size_t decodes = 0;
@@ -568,8 +580,6 @@
     int prefill_status = 0;
     base::upstream_id prefilled_at;
     base::upstream_id decoded_at;
-    // The software version of the engine that began the stream. The stream may go on only there.
-    std::optional<base::software_version> required;
     attempt_result reservation_failure = attempt_result::no_capacity;
     attempt_result prefill_failure = attempt_result::unreachable;
 };
--- a/linnetlane/router/host.h
+++ b/linnetlane/router/host.h
@@ -19,6 +19,7 @@
 #include "linnetlane/router/plain_forwarder.h"
 #include "linnetlane/router/registry_follower.h"
 #include "linnetlane/router/request_context.h"
+#include "linnetlane/router/stream_origin_recorder.h"
 #include "linnetlane/runtime/worker_pool.h"
 
 namespace linnetlane::router {
@@ -50,7 +51,8 @@
                          [this](auto const& applied) { this->apply_limits(applied.limits); }},
           upstreams{this->registry, this->host,
                     [this](auto const& offered) { this->configurations.offer(offered); }},
-          membership{this->registry, this->host} {}
+          membership{this->registry, this->host},
+          recorder{this->registry, this->host} {}
 
     // Binds the addresses and starts the fibers. Throws `boost::system::system_error` if an address
     // can't be bound.
@@ -74,6 +76,7 @@
         this->host.pool.spawn([this] { this->upstreams.run(); });
         this->host.pool.spawn([this] { this->upstreams.sweep(); });
         this->host.pool.spawn([this] { this->membership.run(); });
+        this->host.pool.spawn([this] { this->recorder.run(); });
         this->log.write(
             telemetry::log_level::info, "started",
             {this->settings.listen.callers, telemetry::field::named("host", this->settings.host)});
@@ -207,10 +210,18 @@
         auto const allowed = std::min(route->timeout, caller.timeout.value_or(route->timeout));
         auto cancelled = cancellation{};
         responder.on_client_disconnect([&] { cancelled.cancel(); });
-        auto const context = request_context{this->host, responder, caller,  configuration,
-                                             *route,     *service,  arrived, arrived + allowed,
-                                             cancelled};
-        this->forward(context);
+        auto context = request_context{this->host, responder, caller,  configuration,
+                                       *route,     *service,  arrived, arrived + allowed,
+                                       cancelled,  {}};
+        auto const resumes = route->resumable && caller.resumes;
+        if (resumes) {
+            context.required = this->recorder.find(caller, *service);
+        }
+        if (resumes && !context.required) {
+            this->refuse_unknown_origin(context);
+        } else {
+            this->forward(context);
+        }
         responder.on_client_disconnect([] {});
     }
 
@@ -223,6 +234,13 @@
         this->note_end(context, generates ? request_kind::generation : request_kind::plain, end);
     }
 
+    auto refuse_unknown_origin(request_context const& context) -> void {
+        auto const delay = routing::retry_after(context.route.target_latency, this->view.draw());
+        auto const end = refuse<Wire>(context, refusal{refusal_reason::unknown_origin, delay});
+        this->note_end(
+            context, context.route.generates ? request_kind::generation : request_kind::plain, end);
+    }
+
     auto note_end(request_context const& context, request_kind kind, request_result const& end)
         -> void {
         auto const took = base::monotonic_clock::now() - context.arrived;
@@ -275,6 +293,8 @@
                 return "failed: outcome unknown";
             case refusal_reason::timed_out:
                 return "failed: timed out";
+            case refusal_reason::unknown_origin:
+                return "refused: origin of the stream is unknown";
             case refusal_reason::leaving:
                 break;
         }
@@ -311,6 +331,7 @@
     configuration_follower<Registry> configurations;
     upstream_follower<Registry> upstreams;
     host_membership<Registry, Wire> membership;
+    stream_origin_recorder<Registry> recorder;
     std::optional<runtime::http_server> callers;
     std::optional<runtime::http_server> operators;
     std::optional<runtime::http_server> peers;
--- a/linnetlane/router/messages.h
+++ b/linnetlane/router/messages.h
@@ -59,6 +59,8 @@
     outcome_unknown,
     // The request may have run: its time limit has passed.
     timed_out,
+    // The request resumes a stream, and it isn't known which software version began it.
+    unknown_origin,
     // The host is shutting down.
     leaving,
 };
@@ -214,6 +216,14 @@
     }
 };
 
+// The software version of the upstream that began the stream which answers a request.
+struct stream_origin {
+    base::caller_request_id request;
+    base::software_version software;
+
+    friend auto operator==(stream_origin const&, stream_origin const&) -> bool = default;
+};
+
 struct granted_lease {
     registry_lease lease;
     // The lifetime of the lease from the time of the call.
@@ -255,7 +265,8 @@
 concept router_registry = requires(Registry& registry, registry_position position,
                                    base::duration wait, base::time_point deadline,
                                    registered_host const& self, base::host_id const& host,
-                                   registry_lease lease) {
+                                   registry_lease lease, base::caller_request_id const& request,
+                                   std::vector<stream_origin> const& streams) {
     {
         registry.read_configuration(deadline)
         } -> std::same_as<base::result<configuration_reading, registry_failure>>;
@@ -285,6 +296,18 @@
     {
         registry.update_entry(self, lease, deadline)
         } -> std::same_as<base::result<base::nothing, registry_failure>>;
+    // Acquires a lease of length `wait` for records.
+    {
+        registry.grant_lease(wait, deadline)
+        } -> std::same_as<base::result<granted_lease, registry_failure>>;
+    // Records the versions of streams until the lease ends, in place of earlier records.
+    {
+        registry.record_streams(streams, lease, deadline)
+        } -> std::same_as<base::result<base::nothing, registry_failure>>;
+    // Returns the recorded version of the stream that answered `request`; empty if there is none.
+    {
+        registry.find_stream(request, deadline)
+        } -> std::same_as<base::result<std::optional<base::software_version>, registry_failure>>;
     {
         registry.list_hosts(freshness::current, deadline)
         } -> std::same_as<base::result<host_listing, registry_failure>>;
--- a/linnetlane/router/plain_forwarder.h
+++ b/linnetlane/router/plain_forwarder.h
@@ -80,7 +80,8 @@
             return std::nullopt;
         }
         auto& view = this->context.host.view;
-        auto const id = this->context.state().plain.pick(this->tried, view.draw(), now);
+        auto const id =
+            this->context.state().plain.pick(this->tried, view.draw(), now, this->context.required);
         auto const* const record = id ? view.upstreams.find(*id) : nullptr;
         if (record == nullptr) {
             return std::nullopt;
@@ -98,6 +99,11 @@
     auto attempt(routing::upstream_record const& target) -> std::optional<request_result> {
         ++this->sends;
         this->tried.insert(target.id);
+        if (this->context.route.resumable && !this->context.required) {
+            this->context.host.view.note_stream(this->context.service,
+                                                {this->context.caller.id, target.software},
+                                                base::monotonic_clock::now());
+        }
         auto& pool = this->context.state().plain;
         pool.started(target.id);
         auto const sent_at = base::monotonic_clock::now();
--- a/linnetlane/router/request_context.h
+++ b/linnetlane/router/request_context.h
@@ -43,6 +43,8 @@
     // The deadline of the answer: the earlier of the limits of the caller and the route.
     base::time_point answer_by;
     cancellation& cancelled;
+    // The software version that began the stream which the request resumes, if it resumes one.
+    std::optional<base::software_version> required;
 
     [[nodiscard]] auto state() const -> service_state& {
         return this->host.view.service(this->service);
--- a/linnetlane/router/router_metrics.cpp
+++ b/linnetlane/router/router_metrics.cpp
@@ -60,6 +60,8 @@
             return "overloaded";
         case refusal_reason::upstreams_unreachable:
             return "upstreams_unreachable";
+        case refusal_reason::unknown_origin:
+            return "unknown_origin";
         case refusal_reason::outcome_unknown:
             return "outcome_unknown";
         case refusal_reason::timed_out:
--- a/linnetlane/router/routing_view.cpp
+++ b/linnetlane/router/routing_view.cpp
@@ -1,6 +1,7 @@
 #include "linnetlane/router/routing_view.h"
 
 #include <algorithm>
+#include <set>
 
 namespace linnetlane::router {
 
@@ -13,6 +14,7 @@
 }
 
 auto routing_view::refresh_pools() -> void {
+    auto const now = base::monotonic_clock::now();
     auto by_service = std::map<base::service_id, std::vector<routing::upstream_record>>{};
     for (auto const& [id, state] : this->services) {
         by_service[id];
@@ -24,6 +26,11 @@
         auto& state = this->service(id);
         state.plain.set_members(records);
         state.generation.set_members(records);
+        auto present = std::set<base::software_version>{};
+        for (auto const& record : records) {
+            present.insert(record.software);
+        }
+        state.versions.note_present(present, now);
     }
 }
 
@@ -46,6 +53,11 @@
     }
 }
 
+auto routing_view::note_stream(base::service_id const& id, stream_origin const& origin,
+                               base::time_point now) -> void {
+    this->origins.note(origin, this->service(id).versions.is_mixed(now), now);
+}
+
 auto routing_view::try_retry(base::service_id const& id, base::time_point now) -> bool {
     return this->service(id).retries.try_take(this->hosts, now);
 }
--- a/linnetlane/router/routing_view.h
+++ b/linnetlane/router/routing_view.h
@@ -17,6 +17,7 @@
 #include "linnetlane/router/registry_feed.h"
 #include "linnetlane/router/relay_selector.h"
 #include "linnetlane/router/settings.h"
+#include "linnetlane/router/stream_origins.h"
 #include "linnetlane/routing/admission.h"
 #include "linnetlane/routing/configuration.h"
 #include "linnetlane/routing/generation_pool.h"
@@ -24,6 +25,7 @@
 #include "linnetlane/routing/prefill_limiter.h"
 #include "linnetlane/routing/retry_budget.h"
 #include "linnetlane/routing/upstream_set.h"
+#include "linnetlane/routing/version_history.h"
 
 namespace linnetlane::router {
 
@@ -38,6 +40,7 @@
     routing::prefill_limiter prefill_limits;
     routing::retry_budget retries;
     routing::admission_controller admission;
+    routing::version_history versions;
 };
 
 // Not thread-safe; must be used on one worker only.
@@ -78,6 +81,10 @@
     // Records the number of hosts of all data centres. Within the window of the retry budget, the
     // largest number holds, since hosts that have left may have used their share.
     auto note_hosts(std::size_t count, base::time_point now) -> void;
+    // Records that an upstream of that version was chosen to begin the stream which answers
+    // `request`.
+    auto note_stream(base::service_id const& id, stream_origin const& origin, base::time_point now)
+        -> void;
     // Takes one retry from the service's budget. Returns false if none is left.
     [[nodiscard]] auto try_retry(base::service_id const& id, base::time_point now) -> bool;
 
@@ -87,6 +94,7 @@
     // Serves the hosts that follow this one.
     registry_feed feed;
     relay_selector relays;
+    stream_origins origins;
     // This host reads the registry itself.
     bool reads_registry = false;
 
--- /dev/null
+++ b/linnetlane/router/stream_origins.cpp
@@ -0,0 +1,64 @@
+#include "linnetlane/router/stream_origins.h"
+
+#include <algorithm>
+
+#include "linnetlane/routing/version_history.h"
+
+namespace linnetlane::router {
+
+auto stream_origins::note(stream_origin const& origin, bool record, base::time_point now) -> void {
+    this->expire(now);
+    if (origin.request.value.empty() || origin.request.value.size() > max_id_bytes) {
+        return;
+    }
+    auto const [place, first] = this->known.try_emplace(origin.request, origin.software);
+    auto const changed = place->second != origin.software;
+    place->second = origin.software;
+    if (first) {
+        this->expiries.push_back({origin.request, now + routing::stream_lifetime});
+    }
+    if (record && (first || changed)) {
+        this->put_back({origin});
+    }
+}
+
+auto stream_origins::find(base::caller_request_id const& request) const
+    -> std::optional<base::software_version> {
+    auto const found = this->known.find(request);
+    return found == this->known.end() ? std::nullopt : std::optional{found->second};
+}
+
+auto stream_origins::await_unrecorded(std::size_t most) -> std::vector<stream_origin> {
+    auto lock = std::unique_lock{this->mutex};
+    this->added.wait(lock, [this] { return !this->unrecorded.empty(); });
+    auto batch = std::vector<stream_origin>{};
+    while (!this->unrecorded.empty() && batch.size() < most) {
+        auto const& request = this->unrecorded.front();
+        if (auto const software = this->find(request)) {
+            batch.push_back({request, *software});
+        }
+        this->unrecorded.pop_front();
+    }
+    return batch;
+}
+
+auto stream_origins::put_back(std::vector<stream_origin> const& failed) -> void {
+    for (auto const& each : failed) {
+        if (std::ranges::find(this->unrecorded, each.request) == this->unrecorded.end()) {
+            this->unrecorded.push_back(each.request);
+        }
+    }
+    while (this->unrecorded.size() > max_unrecorded) {
+        this->unrecorded.pop_front();
+    }
+    this->added.notify_all();
+}
+
+auto stream_origins::expire(base::time_point now) -> void {
+    while (!this->expiries.empty() && this->expiries.front().at <= now) {
+        this->known.erase(this->expiries.front().request);
+        this->expiries.pop_front();
+    }
+}
+
+}  // namespace linnetlane::router
--- a/linnetlane/routing/plain_pool.cpp
+++ b/linnetlane/routing/plain_pool.cpp
@@ -26,20 +26,22 @@
         auto& one = this->members[record.id];
         one.slots = std::max<std::size_t>(record.slots, 1);
         one.data_centre = record.data_centre;
+        one.software = record.software;
         one.leaving = record.leaving;
     }
     std::erase_if(this->members, [&](auto const& entry) { return !listed.contains(entry.first); });
 }
 
-auto plain_pool::pick(std::set<base::upstream_id> const& tried, double draw,
-                      base::time_point now) const -> std::optional<base::upstream_id> {
+auto plain_pool::pick(std::set<base::upstream_id> const& tried, double draw, base::time_point now,
+                      std::optional<base::software_version> const& required) const
+    -> std::optional<base::upstream_id> {
     auto best = std::optional<base::upstream_id>{};
     auto best_cost = std::numeric_limits<double>::max();
     auto best_usable = false;
     auto index = std::size_t{0};
     for (auto const& [id, one] : this->members) {
         ++index;
-        if (one.leaving || tried.contains(id)) {
+        if (one.leaving || tried.contains(id) || (required && one.software != *required)) {
             continue;
         }
         auto const usable =
--- a/linnetlane/routing/plain_pool.h
+++ b/linnetlane/routing/plain_pool.h
@@ -46,9 +46,11 @@
     auto forget(base::upstream_id const& id) -> void { this->members.erase(id); }
     // Returns the best upstream outside of `tried`, or nothing if there is none. Ejected upstreams
     // and those in suspect data centres are used only if no other is left. `draw` from [0, 1)
-    // breaks ties.
-    [[nodiscard]] auto pick(std::set<base::upstream_id> const& tried, double draw,
-                            base::time_point now) const -> std::optional<base::upstream_id>;
+    // breaks ties. If `required` is set, only upstreams of that software version are considered.
+    [[nodiscard]] auto pick(
+        std::set<base::upstream_id> const& tried, double draw, base::time_point now,
+        std::optional<base::software_version> const& required = std::nullopt) const
+        -> std::optional<base::upstream_id>;
     // Record that a request was sent to an upstream, and its result.
     auto started(base::upstream_id const& id) -> void;
     auto ended(base::upstream_id const& id, plain_result const& result, base::time_point now)
@@ -60,6 +62,7 @@
     struct member {
         std::size_t slots = 1;
         base::data_centre_id data_centre;
+        base::software_version software;
         bool leaving = false;
         std::size_t under_way = 0;
         // The moving mean of the time that a request takes, in seconds; 0 before the first answer.
--- /dev/null
+++ b/linnetlane/routing/version_history.cpp
@@ -0,0 +1,64 @@
+#include "linnetlane/routing/version_history.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+namespace linnetlane::routing {
+
+auto version_history::note_present(std::set<base::software_version> const& present,
+                                   base::time_point now) -> void {
+    if (!this->observed_since && !present.empty()) {
+        this->observed_since = now;
+    }
+    std::erase_if(this->versions, [&](auto const& entry) { return !is_recent(entry.second, now); });
+    for (auto& [version, one] : this->versions) {
+        if (!present.contains(version)) {
+            one.until = std::min(one.until, now);
+        }
+    }
+    for (auto const& version : present) {
+        auto const [place, added] =
+            this->versions.try_emplace(version, presence{now, base::time_point::max()});
+        place->second.until = base::time_point::max();
+    }
+}
+
+auto version_history::is_recent(presence const& one, base::time_point now) -> bool {
+    return one.until == base::time_point::max() || now < one.until + stream_lifetime;
+}
+
+auto version_history::recent(base::time_point now) const
+    -> std::map<base::software_version, presence> {
+    auto found = this->versions;
+    std::erase_if(found, [&](auto const& entry) { return !is_recent(entry.second, now); });
+    return found;
+}
+
+auto version_history::is_mixed(base::time_point now) const -> bool {
+    return this->recent(now).size() > 1;
+}
+
+auto version_history::certain_version(base::time_point now) const
+    -> std::optional<base::software_version> {
+    auto const found = this->recent(now);
+    auto const observed = this->observed_since && now - *this->observed_since >= stream_lifetime;
+    return found.size() == 1 && observed ? std::optional{found.begin()->first} : std::nullopt;
+}
+
+auto version_history::version_without_record(base::time_point now) const
+    -> std::optional<base::software_version> {
+    auto by_age = std::vector<std::pair<base::time_point, base::software_version>>{};
+    for (auto const& [version, one] : this->recent(now)) {
+        by_age.emplace_back(one.since, version);
+    }
+    std::ranges::sort(by_age);
+    if (by_age.empty()) {
+        return std::nullopt;
+    }
+    auto const alone = by_age.size() == 1 || (by_age[0].first < by_age[1].first &&
+                                              now < by_age[1].first + stream_lifetime);
+    return alone ? std::optional{by_age.front().second} : std::nullopt;
+}
+
+}  // namespace linnetlane::routing
--- /dev/null
+++ b/linnetlane/routing/version_history_test.cpp
@@ -0,0 +1,65 @@
+#include "linnetlane/routing/version_history.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace linnetlane::routing {
+namespace {
+
+using namespace std::chrono_literals;
+
+auto const start = base::time_point{} + 1h;
+auto const v1 = base::software_version{"v1"};
+auto const v2 = base::software_version{"v2"};
+auto const v3 = base::software_version{"v3"};
+
+BOOST_AUTO_TEST_CASE(a_steady_service_needs_no_records) {
+    auto versions = version_history{};
+    versions.note_present({v1}, start);
+    BOOST_TEST(!versions.is_mixed(start + 1h));
+    BOOST_TEST((versions.certain_version(start + stream_lifetime) == v1));
+}
+
+BOOST_AUTO_TEST_CASE(a_host_that_has_just_started_is_not_certain) {
+    auto versions = version_history{};
+    BOOST_TEST(!versions.certain_version(start).has_value());
+    versions.note_present({}, start - 1h);
+    versions.note_present({v1}, start);
+    BOOST_TEST(!versions.certain_version(start + 5s).has_value());
+    // Another version's stream would have a record.
+    BOOST_TEST((versions.version_without_record(start + 5s) == v1));
+}
+
+BOOST_AUTO_TEST_CASE(streams_from_before_a_rollout_are_of_the_older_version) {
+    auto versions = version_history{};
+    versions.note_present({v1}, start);
+    auto const rollout = start + 1min;
+    versions.note_present({v1, v2}, rollout);
+    BOOST_TEST(versions.is_mixed(rollout));
+    BOOST_TEST(!versions.certain_version(rollout).has_value());
+    BOOST_TEST((versions.version_without_record(rollout + 5s) == v1));
+    // By now every stream has a record, so that a missing one is a lost one.
+    BOOST_TEST(!versions.version_without_record(rollout + stream_lifetime).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(a_version_that_has_left_counts_as_long_as_its_streams_can_be_resumed) {
+    auto versions = version_history{};
+    versions.note_present({v1}, start);
+    versions.note_present({v1, v2}, start + 1min);
+    auto const left = start + 2min;
+    versions.note_present({v2}, left);
+    BOOST_TEST(versions.is_mixed(left + stream_lifetime - 1s));
+    BOOST_TEST(!versions.version_without_record(left + 1s).has_value());
+    BOOST_TEST(!versions.is_mixed(left + stream_lifetime));
+    BOOST_TEST((versions.certain_version(left + stream_lifetime) == v2));
+}
+
+BOOST_AUTO_TEST_CASE(versions_that_were_there_when_the_host_started_are_not_told_apart) {
+    auto versions = version_history{};
+    versions.note_present({v1, v2}, start);
+    BOOST_TEST(!versions.version_without_record(start + 1s).has_value());
+    versions.note_present({v1, v2, v3}, start + 2s);
+    BOOST_TEST(!versions.version_without_record(start + 3s).has_value());
+}
+
+}  // namespace
+}  // namespace linnetlane::routing
