Stage balancer: a stage change leaves each software version a decode engine

The balancer picked engines by data centre only, so that it could order the last decode engine of a version to prefill during a rollout; resumed streams of that version had nowhere to go. Evidence: two new cases in routing_pools_test fail without the change (the only v1 engine is ordered to prefill; a surplus prefill engine of a version without a decode engine is passed over) and pass with it. Change: among the engines that may change, those that keep or give a version a decode engine come first. Conclusion: no orders are added; a version whose engines all prefill while the pools are balanced stays so.

--- a/linnetlane/routing/pools_test.cpp
+++ b/linnetlane/routing/pools_test.cpp
@@ -462,5 +462,33 @@
     }));
 }
 
+BOOST_AUTO_TEST_CASE(a_stage_change_leaves_each_software_version_a_decode_engine) {
+    auto engines = make_engines(0, 9);
+    for (auto& each : engines) {
+        each.software.value = each.id.value == "e0" ? "v1" : "v2";
+        each.data_centre.value = each.id.value == "e0" ? "a" : each.id.value;
+    }
+    // The data centre of `e0` has most engines, so that it would be the first to lose one.
+    engines.push_back(make_record("e9", "a", engine_stage::decode));
+    engines.back().software.value = "v2";
+    auto balancer = stage_balancer{base::fraction{0.2}, start};
+    settle(balancer, engines, start);
+    settle(balancer, engines, start + std::chrono::seconds{20});
+    BOOST_TEST(count_stage(engines, engine_stage::prefill) == 2U);
+    BOOST_TEST((engines.front().stage == engine_stage::decode));
+}
+
+BOOST_AUTO_TEST_CASE(a_surplus_prefill_engine_goes_to_the_version_without_a_decode_engine) {
+    auto engines = make_engines(4, 6);
+    for (auto& each : engines) {
+        each.software.value = each.id.value == "e3" ? "v1" : "v2";
+    }
+    auto balancer = stage_balancer{base::fraction{0.3}, start};
+    settle(balancer, engines, start);
+    settle(balancer, engines, start + std::chrono::seconds{20});
+    BOOST_TEST(count_stage(engines, engine_stage::prefill) == 3U);
+    BOOST_TEST((engines[3].stage == engine_stage::decode));
+}
+
 }  // namespace
 }  // namespace linnetlane::routing
--- a/linnetlane/routing/stage_balancer.cpp
+++ b/linnetlane/routing/stage_balancer.cpp
@@ -3,15 +3,23 @@
 #include <algorithm>
 #include <cmath>
 #include <map>
+#include <utility>
 
 namespace linnetlane::routing {
 
 auto stage_balancer::pick(std::vector<upstream_record> const& engines, engine_stage stage) const
     -> upstream_record const* {
     auto per_data_centre = std::map<base::data_centre_id, std::size_t>{};
+    auto decode_per_version = std::map<base::software_version, std::size_t>{};
     for (auto const& one : engines) {
         per_data_centre[one.data_centre] += one.stage == stage && !one.leaving ? 1 : 0;
+        decode_per_version[one.software] +=
+            one.stage == engine_stage::decode && !one.leaving ? 1 : 0;
     }
+    auto const serves_version = [&](upstream_record const& one) {
+        auto const decoding = decode_per_version[one.software];
+        return stage == engine_stage::decode ? decoding > 1 : decoding == 0;
+    };
     auto const changes = [&](base::upstream_id const& id) {
         return this->declined_until.contains(id) ||
                std::ranges::find(this->ordered, id, [](pending_change const& each) {
@@ -24,7 +32,8 @@
             continue;
         }
         if (chosen == nullptr ||
-            per_data_centre[one.data_centre] > per_data_centre[chosen->data_centre]) {
+            std::pair{serves_version(one), per_data_centre[one.data_centre]} >
+                std::pair{serves_version(*chosen), per_data_centre[chosen->data_centre]}) {
             chosen = &one;
         }
     }
--- a/linnetlane/routing/stage_balancer.h
+++ b/linnetlane/routing/stage_balancer.h
@@ -80,8 +80,10 @@
     auto apply_pending(std::vector<upstream_record>& engines, base::time_point now) -> void;
     // Returns whether engines still register during startup.
     auto registrations_continue(std::size_t engines, base::time_point now) -> bool;
-    // Returns the engine to change from `stage`, in the data centre that has most of them, so that
-    // no data centre loses its last one early. Returns null if there is none.
+    // Returns the engine to change from `stage`. Prefers one that leaves each software version a
+    // decode engine, or gives it one, since a stream may go on only at the version that began it;
+    // then one in the data centre that has most of them, so that no data centre loses its last one
+    // early. Returns null if there is none.
     [[nodiscard]] auto pick(std::vector<upstream_record> const& engines, engine_stage stage) const
         -> upstream_record const*;
 
