Tests for RECOVER, failing: a host without a path to the upstreams fails its callers

What callers see: 503 or 504 for every request, as long as the host's links to the upstreams are cut, while other hosts serve. The tests cut the links of one of two hosts: connections hang, are reset, or live on while new ones are refused. The stand-in's relay gets the last mode.

--- a/linnetlane/standin/relay.cpp
+++ b/linnetlane/standin/relay.cpp
@@ -184,7 +184,7 @@
 
 private:
     auto add_connection(tcp::socket socket) -> void {
-        if (this->link.mode == link_mode::cut) {
+        if (this->link.mode == link_mode::cut || this->link.mode == link_mode::closed_to_new) {
             return;
         }
         auto ignored = boost::system::error_code{};
--- a/linnetlane/standin/relay.h
+++ b/linnetlane/standin/relay.h
@@ -22,6 +22,8 @@
     open,
     // Existing connections are closed, and new ones are closed on accept.
     cut,
+    // Existing connections stay open, and new ones are closed on accept.
+    closed_to_new,
     // Bytes sent in one direction are silently dropped. Connections that lost bytes are closed when
     // the link opens again.
     cut_to_target,
