Router: a host that reaches no upstream sends its requests through other hosts

What callers saw: 504 after the route's timeout, or 503, from hosts that had lost their paths to all upstreams (3 of 90 first attempts served, 356 of 368 at the other hosts), as long as the partition lasted. Cause: a host had one way to the upstreams only, and it never concluded from single failures that all of them were out of reach: each request spent its time on connections that couldn't be established. Ruled out: failing the readiness check, since open connections stay and the balancer uses all hosts of a data centre once half of them fail it. Change: isolation_detector tells from the silence of all upstreams that the host is isolated; peer_forwarder then sends requests on to other hosts, one hop, and isolation_watch probes for the end. A request that provably reached no upstream takes the same way without that state, which covers upstreams that only refuse new connections. Conclusion: requests that were already sent on a connection that hangs still end with an unknown outcome; the detector limits them to the first half second.

--- a/linnetlane/protocol/router.thrift
+++ b/linnetlane/protocol/router.thrift
@@ -1,4 +1,5 @@
-// Messages between the hosts of a data centre, so that one host reads the registry for all.
+// Messages between hosts: changes of the registry, which one host of a data centre reads for all, and
+// requests that another host forwards because the sender reaches no upstream.
 //
 // The body of each HTTP request and response is one of these structs in Thrift's compact protocol.
 // Durations are in microseconds. Fields are only added, with new numbers, so that hosts of different
@@ -121,3 +122,20 @@
     // the registry.
     9: optional i64 grace_left,
 }
+
+struct header_field {
+    1: string name,
+    2: string value,
+}
+
+// A caller's request that the receiver is to forward to an upstream. The HTTP response to it is the
+// answer to the caller.
+struct forwarded_request {
+    1: string method,
+    // Path and query.
+    2: string target,
+    3: list<header_field> fields,
+    4: binary body,
+    // The time that the caller still allows.
+    5: i64 time_left,
+}
--- a/linnetlane/router/generation_forwarder.h
+++ b/linnetlane/router/generation_forwarder.h
@@ -130,8 +130,8 @@
         auto const candidates =
             pool.decode_candidates(this->context.host.settings.generation.engines_asked,
                                    view.draw(), base::monotonic_clock::now(), this->required);
-        this->reservation_failure =
-            candidates.empty() ? attempt_result::unreachable : attempt_result::no_capacity;
+        // Until an engine answers that it has no room.
+        this->reservation_failure = attempt_result::unreachable;
         auto const reserve_until =
             base::monotonic_clock::now() +
             std::chrono::duration_cast<base::duration>(this->context.route.target_latency *
@@ -144,6 +144,9 @@
             if (record == nullptr) {
                 continue;
             }
+            if (this->is_isolated()) {
+                break;
+            }
             ++this->engines_asked;
             if (auto reserved = this->reserve_at(*record)) {
                 return reserved;
@@ -158,6 +161,8 @@
 
     auto reserve_at(routing::upstream_record engine) -> std::optional<decode_reservation> {
         auto const now = base::monotonic_clock::now();
+        auto& isolation = this->context.host.view.isolation;
+        isolation.note_sent(engine.address, now);
         auto const called = runtime::fetch(
             engine.address,
             Wire::make_reserve_request(engine.id, this->reserved_tokens(), this->reservation_ttl()),
@@ -165,10 +170,14 @@
             std::min(this->context.answer_by, now + reservation_timeout));
         auto& pool = this->context.state().generation;
         if (base::failure_of(called) != nullptr) {
+            isolation.note_no_answer(engine.address);
+            this->reached_none = true;
             pool.note_outcome(engine.id, routing::exchange_outcome::transport_failure, now);
             this->log_step(engine.id, "reservation got no answer");
             return std::nullopt;
         }
+        isolation.note_answer();
+        this->reached_none = false;
         auto const& response = base::value_of(called);
         auto const head = Wire::read_answer(response.status, response.fields);
         if (head.load) {
@@ -178,6 +187,7 @@
                                                     : std::optional<reservation_id>{};
         this->context.host.metrics.count_reservation(granted.has_value());
         if (!granted) {
+            this->reservation_failure = attempt_result::no_capacity;
             pool.note_full(engine.id, now);
             return std::nullopt;
         }
@@ -273,9 +283,19 @@
                 this->prefill_failure = attempt_result::caller_left;
                 return std::nullopt;
             }
+            if (this->is_isolated()) {
+                return std::nullopt;
+            }
         }
     }
 
+    // Returns whether further attempts would fail like the last one, because this host reaches no
+    // upstream.
+    [[nodiscard]] auto is_isolated() const -> bool {
+        return this->reached_none &&
+               this->context.host.view.isolation.is_isolated(base::monotonic_clock::now());
+    }
+
     // The first prefill of a request is always allowed; further ones use the retry budget.
     auto may_prefill(std::set<base::upstream_id> const& tried, base::time_point now) -> bool {
         if (this->prefills++ == 0) {
@@ -303,9 +323,10 @@
         auto const deadline = std::min(this->context.answer_by, now + timeout);
         // The engine drops the prompt if it hasn't begun by the deadline.
         auto const options = send_options{engine.id, deadline - now};
-        auto result = exchange<Wire>(this->context, engine.address,
-                                     Wire::make_prefill_request(this->context.caller, options),
-                                     runtime::connection_use::pooled, deadline);
+        auto result =
+            exchange_with_upstream<Wire>(this->context, engine.address,
+                                         Wire::make_prefill_request(this->context.caller, options),
+                                         runtime::connection_use::pooled, deadline);
         auto made = this->read_prefill(engine, result, deadline);
         pool.end(engine.id, this->prompt());
         auto const ended = base::monotonic_clock::now();
@@ -329,10 +350,12 @@
         this->prefill_status = opened == nullptr ? 0 : opened->head.status;
         if (opened == nullptr) {
             if (!this->context.cancelled.cancelled()) {
+                this->reached_none = true;
                 pool.note_outcome(engine.id, routing::exchange_outcome::transport_failure, now);
             }
             return std::nullopt;
         }
+        this->reached_none = false;
         if (opened->head.load) {
             pool.note_load(engine.id, *opened->head.load, now);
         }
@@ -371,10 +394,10 @@
         }
         auto const options = send_options{reserved.engine.id, this->context.answer_by - now};
         auto const decoding = decode_options{source, reserved.id, this->relay.last_event()};
-        auto result =
-            exchange<Wire>(this->context, reserved.engine.address,
-                           Wire::make_decode_request(this->context.caller, options, decoding),
-                           runtime::connection_use::pooled, this->context.answer_by);
+        auto result = exchange_with_upstream<Wire>(
+            this->context, reserved.engine.address,
+            Wire::make_decode_request(this->context.caller, options, decoding),
+            runtime::connection_use::pooled, this->context.answer_by);
         if (auto const* const failure = std::get_if<exchange_failure_kind>(&result)) {
             return this->after_decode_failure(reserved, source, *failure);
         }
@@ -398,6 +421,7 @@
                                                       base::monotonic_clock::now());
         this->log_step(reserved.engine.id, "decode got no answer");
         if (failure == exchange_failure_kind::not_sent) {
+            this->reached_none = true;
             return attempt_result::retry;
         }
         this->may_have_run = true;
@@ -421,6 +445,7 @@
         if (opened.head.not_run) {
             this->release(reserved);
             this->discard(source);
+            this->reached_none = false;
             this->log_step(reserved.engine.id, "decode refused", opened.head.status);
             return attempt_result::retry;
         }
@@ -499,6 +524,9 @@
                 return this->refuse_or_cut(refusal_reason::overloaded);
             case attempt_result::unreachable:
             case attempt_result::retry:
+                if (this->reached_none && !this->may_have_run) {
+                    return unsent_request();
+                }
                 return this->refuse_or_cut(refusal_reason::upstreams_unreachable);
             case attempt_result::outcome_unknown:
             case attempt_result::interrupted:
@@ -575,6 +603,8 @@
     // Decodes that the engine ran or may have run.
     std::size_t runs = 0;
     bool may_have_run = false;
+    // The last step failed because the engine could not be reached.
+    bool reached_none = false;
     int forwarded_status = 0;
     // The status of the last prefill's answer, or 0 if there was none.
     int prefill_status = 0;
--- a/linnetlane/router/host.h
+++ b/linnetlane/router/host.h
@@ -16,6 +16,8 @@
 
 #include "linnetlane/router/generation_forwarder.h"
 #include "linnetlane/router/host_membership.h"
+#include "linnetlane/router/isolation_watch.h"
+#include "linnetlane/router/peer_forwarder.h"
 #include "linnetlane/router/plain_forwarder.h"
 #include "linnetlane/router/registry_follower.h"
 #include "linnetlane/router/request_context.h"
@@ -52,14 +54,16 @@
           upstreams{this->registry, this->host,
                     [this](auto const& offered) { this->configurations.offer(offered); }},
           membership{this->registry, this->host},
-          recorder{this->registry, this->host} {}
+          recorder{this->registry, this->host},
+          isolation{this->registry, this->host} {}
 
     // Binds the addresses and starts the fibers. Throws `boost::system::system_error` if an address
     // can't be bound.
     auto start() -> void {
-        this->callers.emplace(
-            this->host.pool, this->settings.listen.callers, runtime::http_limits{},
-            [this](auto const& request, auto& responder) { this->serve(request, responder); });
+        this->callers.emplace(this->host.pool, this->settings.listen.callers,
+                              runtime::http_limits{}, [this](auto const& request, auto& responder) {
+                                  this->serve(Wire::read_caller_request(request), responder, false);
+                              });
         this->operators.emplace(this->host.pool, this->settings.listen.operators,
                                 runtime::http_limits{},
                                 [this](auto const& request, auto& responder) {
@@ -140,8 +144,33 @@
         static_cast<void>(responder.send(response));
     }
 
-    // Answers a host of the same data centre that asks for changes of the registry.
+    // Answers another host.
     auto serve_peer(runtime::http_request const& request, runtime::http_responder& responder)
+        -> void {
+        if (request.target == forward_target) {
+            this->serve_forwarded(request, responder);
+        } else {
+            this->serve_follower(request, responder);
+        }
+    }
+
+    // Serves a request that another host sent on because it reaches no upstream.
+    auto serve_forwarded(runtime::http_request const& request, runtime::http_responder& responder)
+        -> void {
+        auto const forwarded = decode_forwarded(request.body);
+        if (!forwarded) {
+            this->log.write(telemetry::log_level::warning, "malformed request from a host", {});
+            // If the peer has disconnected, it doesn't wait for the answer.
+            static_cast<void>(responder.send({400, {}, {}}));
+            return;
+        }
+        auto caller = Wire::read_caller_request(forwarded->request);
+        caller.timeout = forwarded->time_left;
+        this->serve(caller, responder, true);
+    }
+
+    // Answers a host of the same data centre that asks for changes of the registry.
+    auto serve_follower(runtime::http_request const& request, runtime::http_responder& responder)
         -> void {
         auto const question = decode_question(request.body);
         auto response = runtime::http_response{};
@@ -185,34 +214,38 @@
         return update;
     }
 
-    auto serve(runtime::http_request const& request, runtime::http_responder& responder) -> void {
+    // Serves a request of a caller, or one that another host sent on.
+    auto serve(caller_request const& caller, runtime::http_responder& responder, bool from_peer)
+        -> void {
         auto const arrived = base::monotonic_clock::now();
-        auto const caller = Wire::read_caller_request(request);
         auto const configuration = this->view.routes.current();
+        auto const refuse_unrouted = [&](refusal_reason reason) {
+            this->refuse_unrouted(caller, responder, reason, arrived, from_peer);
+        };
         if (!this->view.ready()) {
-            this->refuse_unrouted(caller, responder, refusal_reason::no_configuration, arrived);
+            refuse_unrouted(refusal_reason::no_configuration);
             return;
         }
         if (this->refuse_new) {
-            this->refuse_unrouted(caller, responder, refusal_reason::leaving, arrived);
+            refuse_unrouted(refusal_reason::leaving);
             return;
         }
         auto const* const route = this->view.routes.match(caller.host, caller.forwarded.target);
         if (route == nullptr) {
-            this->refuse_unrouted(caller, responder, refusal_reason::no_route, arrived);
+            refuse_unrouted(refusal_reason::no_route);
             return;
         }
         auto const* const service = routing::choose_target(*route, this->view.draw());
         if (service == nullptr) {
-            this->refuse_unrouted(caller, responder, refusal_reason::no_upstream, arrived);
+            refuse_unrouted(refusal_reason::no_upstream);
             return;
         }
         auto const allowed = std::min(route->timeout, caller.timeout.value_or(route->timeout));
         auto cancelled = cancellation{};
         responder.on_client_disconnect([&] { cancelled.cancel(); });
-        auto context = request_context{this->host, responder, caller,  configuration,
-                                       *route,     *service,  arrived, arrived + allowed,
-                                       cancelled,  {}};
+        auto context = request_context{this->host, responder, caller,   configuration,
+                                       *route,     *service,  arrived,  arrived + allowed,
+                                       cancelled,  {},        from_peer};
         auto const resumes = route->resumable && caller.resumes;
         if (resumes) {
             context.required = this->recorder.find(caller, *service);
@@ -226,14 +259,35 @@
     }
 
     auto forward(request_context const& context) -> void {
-        auto& state = context.state();
-        state.retries.note_request(context.arrived);
         auto const generates = context.route.generates && context.caller.size.has_value();
-        auto const end = generates ? generation_forwarder<Wire>{context}.run()
-                                   : plain_forwarder<Wire>{context}.run();
+        auto end = this->isolation.is_isolated() ? unsent_request()
+                                                 : this->forward_to_upstream(context, generates);
+        if (end.unsent && !context.from_peer) {
+            end = this->forward_by_peer(context).value_or(end);
+        }
+        if (end.unsent) {
+            auto const delay =
+                routing::retry_after(context.route.target_latency, this->view.draw());
+            end = refuse<Wire>(context, refusal{refusal_reason::upstreams_unreachable, delay});
+        }
         this->note_end(context, generates ? request_kind::generation : request_kind::plain, end);
     }
 
+    auto forward_to_upstream(request_context const& context, bool generates) -> request_result {
+        context.state().retries.note_request(context.arrived);
+        return generates ? generation_forwarder<Wire>{context}.run()
+                         : plain_forwarder<Wire>{context}.run();
+    }
+
+    // Sends a request that reached no upstream through another host. Returns nothing if no host
+    // took it.
+    auto forward_by_peer(request_context const& context) -> std::optional<request_result> {
+        this->isolation.refresh_peers();
+        auto const end = peer_forwarder<Wire>{context}.run();
+        this->metrics.count_forwarded(end.has_value());
+        return end;
+    }
+
     auto refuse_unknown_origin(request_context const& context) -> void {
         auto const delay = routing::retry_after(context.route.target_latency, this->view.draw());
         auto const end = refuse<Wire>(context, refusal{refusal_reason::unknown_origin, delay});
@@ -302,12 +356,16 @@
     }
 
     auto refuse_unrouted(caller_request const& caller, runtime::http_responder& responder,
-                         refusal_reason reason, base::time_point arrived) -> void {
+                         refusal_reason reason, base::time_point arrived, bool from_peer) -> void {
         auto refused = refusal{reason, std::nullopt};
         if (reason != refusal_reason::no_route) {
             refused.retry_after = configuration_wait;
         }
-        auto const response = Wire::write_refusal(refused, caller);
+        auto response = Wire::write_refusal(refused, caller);
+        if (from_peer) {
+            // The other hosts may be able to serve the request.
+            mark_forward_refusal(response);
+        }
         auto const sent = responder.send(response);
         this->metrics.count_refusal(reason);
         auto const configuration = this->view.routes.current();
@@ -332,6 +390,7 @@
     upstream_follower<Registry> upstreams;
     host_membership<Registry, Wire> membership;
     stream_origin_recorder<Registry> recorder;
+    isolation_watch<Registry, Wire> isolation;
     std::optional<runtime::http_server> callers;
     std::optional<runtime::http_server> operators;
     std::optional<runtime::http_server> peers;
--- /dev/null
+++ b/linnetlane/router/isolation_watch.h
@@ -0,0 +1,164 @@
+// Ends the isolation of a host from the upstreams: while requests go through other hosts, probes
+// upstreams until one answers, and keeps the list of the other hosts current.
+
+#ifndef LINNETLANE_ROUTER_ISOLATION_WATCH_H_
+#define LINNETLANE_ROUTER_ISOLATION_WATCH_H_
+
+#include <algorithm>
+#include <chrono>
+#include <map>
+#include <optional>
+#include <vector>
+
+#include "linnetlane/router/messages.h"
+#include "linnetlane/router/peer_codec.h"
+#include "linnetlane/router/registry_follower.h"
+#include "linnetlane/router/request_context.h"
+
+namespace linnetlane::router {
+
+// Not thread-safe; must be used on one worker only.
+template <router_registry Registry, router_wire Wire>
+class isolation_watch {
+public:
+    static constexpr auto probe_timeout = std::chrono::milliseconds{300};
+    static constexpr auto probe_interval = std::chrono::milliseconds{200};
+    static constexpr auto list_timeout = std::chrono::milliseconds{400};
+    // The time for a host to tell which hosts follow it.
+    static constexpr auto peer_timeout = std::chrono::milliseconds{200};
+    // The number of hosts that are asked which hosts follow them.
+    static constexpr auto max_asked = std::size_t{8};
+
+    isolation_watch(Registry& own_registry, host_context const& own_host)
+        : registry{own_registry}, host{own_host} {}
+
+    // Returns whether this host reaches no upstream. Starts the probes if it doesn't.
+    auto is_isolated() -> bool {
+        if (!this->host.view.isolation.is_isolated(base::monotonic_clock::now())) {
+            return false;
+        }
+        if (!this->watching) {
+            this->watching = true;
+            this->host.pool.spawn([this] { this->watch(); });
+        }
+        return true;
+    }
+
+    // Reads the list of the other hosts if it is outdated. Suspends the calling fiber.
+    auto refresh_peers() -> void {
+        if (this->refreshing || this->host.view.peers.is_current(base::monotonic_clock::now())) {
+            return;
+        }
+        this->refreshing = true;
+        auto known = std::map<base::host_id, host_entry>{};
+        auto const add = [&](std::vector<host_entry> const& hosts) {
+            for (auto const& each : hosts) {
+                known.insert_or_assign(each.host, each);
+            }
+        };
+        auto const now = base::monotonic_clock::now();
+        add(this->host.view.relays.order_for_followers(now));
+        auto const listing = this->registry.list_hosts(freshness::may_be_stale, now + list_timeout);
+        if (auto const* const listed = std::get_if<host_listing>(&listing)) {
+            for (auto const& each : listed->hosts) {
+                known.insert_or_assign(each.entry.host, each.entry);
+            }
+            for (auto const& each : this->draw_some(listed->hosts)) {
+                add(this->ask_followers(each));
+            }
+        }
+        known.erase(this->host.settings.host);
+        auto all = std::vector<host_entry>{};
+        for (auto& [id, entry] : known) {
+            all.push_back(std::move(entry));
+        }
+        this->host.view.peers.replace(all, base::monotonic_clock::now());
+        this->refreshing = false;
+    }
+
+private:
+    auto watch() -> void {
+        auto const began = base::monotonic_clock::now();
+        this->host.log.write(
+            telemetry::log_level::warning, "no upstream answers",
+            {{"upstreams", static_cast<std::int64_t>(this->host.view.upstreams.all().size())}});
+        while (this->host.view.isolation.is_isolated(base::monotonic_clock::now()) &&
+               !this->probe()) {
+            this->refresh_peers();
+            runtime::sleep_until(base::monotonic_clock::now() + probe_interval);
+        }
+        this->host.view.isolation.note_answer();
+        this->host.log.write(telemetry::log_level::info, "an upstream answers again",
+                             {{"after", base::monotonic_clock::now() - began}});
+        this->watching = false;
+    }
+
+    // Returns whether an upstream answered on a new connection.
+    auto probe() -> bool {
+        auto const target = this->draw_upstream();
+        if (!target) {
+            return false;
+        }
+        auto const answered = runtime::fetch(target->address, Wire::make_report_request(target->id),
+                                             runtime::connection_use::fresh,
+                                             base::monotonic_clock::now() + probe_timeout);
+        return base::succeeded(answered);
+    }
+
+    // Draws an engine, whose report costs it no capacity, or another upstream if there is none.
+    auto draw_upstream() -> std::optional<routing::upstream_record> {
+        auto engines = std::vector<routing::upstream_record const*>{};
+        auto others = std::vector<routing::upstream_record const*>{};
+        for (auto const& [id, record] : this->host.view.upstreams.all()) {
+            (record.stage ? engines : others).push_back(&record);
+        }
+        auto const& from = engines.empty() ? others : engines;
+        if (from.empty()) {
+            return std::nullopt;
+        }
+        auto const index =
+            static_cast<std::size_t>(this->host.view.draw() * static_cast<double>(from.size()));
+        return *from[std::min(index, from.size() - 1)];
+    }
+
+    // Returns at most `max_asked` of the registered hosts.
+    auto draw_some(std::vector<registered_host> const& hosts) -> std::vector<host_entry> {
+        auto drawn = std::vector<host_entry>{};
+        auto const count = std::min(hosts.size(), max_asked);
+        auto const first =
+            static_cast<std::size_t>(this->host.view.draw() * static_cast<double>(hosts.size()));
+        for (auto index = std::size_t{0}; index < count; ++index) {
+            drawn.push_back(hosts[(first + index) % hosts.size()].entry);
+        }
+        return drawn;
+    }
+
+    // Returns the hosts of its data centre that a registered host knows.
+    auto ask_followers(host_entry const& reader) -> std::vector<host_entry> {
+        if (!reader.peers || reader.host == this->host.settings.host) {
+            return {};
+        }
+        auto const configuration = this->host.view.routes.current();
+        auto const question = changes_question{
+            this->host.view.feed.position(), base::duration::zero(),
+            configuration ? configuration->version : routing::configuration_version{}};
+        auto const answered = runtime::fetch(*reader.peers, make_changes_request(question),
+                                             runtime::connection_use::pooled,
+                                             base::monotonic_clock::now() + peer_timeout);
+        auto const* const response = std::get_if<runtime::http_response>(&answered);
+        if (response == nullptr || response->status != 200) {
+            return {};
+        }
+        auto const update = decode_answer(response->body);
+        return base::succeeded(update) ? base::value_of(update).relays : std::vector<host_entry>{};
+    }
+
+    Registry& registry;
+    host_context const& host;
+    bool watching = false;
+    bool refreshing = false;
+};
+
+}  // namespace linnetlane::router
+
+#endif  // LINNETLANE_ROUTER_ISOLATION_WATCH_H_
--- a/linnetlane/router/peer_codec.cpp
+++ b/linnetlane/router/peer_codec.cpp
@@ -26,10 +26,15 @@
 // Durations of a configuration are clamped to this, so that no deadline overflows.
 constexpr auto max_span = std::chrono::hours{24 * 365};
 
+// The limits for a caller's request, whose body and header are limited when it is received.
+constexpr auto request_bounds = protocol::compact_bounds{std::int32_t{16} * 1024 * 1024, 10'000};
+constexpr auto refusal_field = "Forwarding-Refused";
+
 template <typename Message>
-auto read(std::string_view text) -> std::optional<Message> {
+auto read(std::string_view text, protocol::compact_bounds const& bounds = size_bounds)
+    -> std::optional<Message> {
     try {
-        return protocol::read_compact<Message>(text, size_bounds);
+        return protocol::read_compact<Message>(text, bounds);
     } catch (apache::thrift::TException const&) {
         return std::nullopt;
     } catch (std::bad_alloc const&) {
@@ -261,6 +266,52 @@
 
 }  // namespace
 
+auto make_changes_request(changes_question const& question) -> runtime::http_request {
+    return runtime::http_request{"POST", std::string{changes_target}, {}, encode(question)};
+}
+
+auto make_forward_request(runtime::http_request const& request, base::duration time_left)
+    -> runtime::http_request {
+    auto out = peer_wire::forwarded_request{};
+    out.__set_method(request.method);
+    out.__set_target(request.target);
+    for (auto const& [name, value] : request.fields.entries) {
+        auto field = peer_wire::header_field{};
+        field.__set_name(name);
+        field.__set_value(value);
+        out.fields.push_back(field);
+    }
+    out.__set_body(request.body);
+    out.__set_time_left(microseconds_of(time_left));
+    return runtime::http_request{
+        "POST", std::string{forward_target}, {}, protocol::write_compact(out)};
+}
+
+auto decode_forwarded(std::string_view text) -> std::optional<forwarded_request> {
+    auto in = read<peer_wire::forwarded_request>(text, request_bounds);
+    if (!in || in->method.empty() || in->target.empty() || in->time_left < 0) {
+        return std::nullopt;
+    }
+    auto decoded = forwarded_request{};
+    decoded.request.method = std::move(in->method);
+    decoded.request.target = std::move(in->target);
+    for (auto& field : in->fields) {
+        decoded.request.fields.add(std::move(field.name), std::move(field.value));
+    }
+    decoded.request.body = std::move(in->body);
+    decoded.time_left = span(in->time_left);
+    return decoded;
+}
+
+auto mark_forward_refusal(runtime::http_response& response) -> void {
+    response.fields.add(refusal_field, "1");
+}
+
+auto is_forward_refusal(upstream_answer const& head, runtime::http_fields const& fields) -> bool {
+    constexpr auto bad_request = 400;
+    return fields.find(refusal_field).has_value() || (head.status == bad_request && !head.attested);
+}
+
 auto encode(changes_question const& question) -> std::string {
     auto out = peer_wire::changes_question{};
     out.__set_after(static_cast<std::int64_t>(question.after.value));
--- a/linnetlane/router/peer_codec.h
+++ b/linnetlane/router/peer_codec.h
@@ -50,6 +50,30 @@
 
 using changes_answer = base::result<registry_update, registry_failure>;
 
+// A caller's request that another host sent on because it reaches no upstream.
+struct forwarded_request {
+    // As `caller_request::forwarded`.
+    runtime::http_request request;
+    // The time that the caller still allows.
+    base::duration time_left{};
+};
+
+// The targets of requests between hosts.
+inline constexpr auto changes_target = std::string_view{"/upstream-changes"};
+inline constexpr auto forward_target = std::string_view{"/forwarded-requests"};
+
+[[nodiscard]] auto make_changes_request(changes_question const& question) -> runtime::http_request;
+[[nodiscard]] auto make_forward_request(runtime::http_request const& request,
+                                        base::duration time_left) -> runtime::http_request;
+// Returns nothing if `text` is malformed.
+[[nodiscard]] auto decode_forwarded(std::string_view text) -> std::optional<forwarded_request>;
+// Marks an answer as stating that the host didn't take the request, so that another may.
+auto mark_forward_refusal(runtime::http_response& response) -> void;
+// Returns whether the host didn't take the request. Hosts of older versions answer 400 and run
+// nothing.
+[[nodiscard]] auto is_forward_refusal(upstream_answer const& head,
+                                      runtime::http_fields const& fields) -> bool;
+
 [[nodiscard]] auto encode(changes_question const& question) -> std::string;
 [[nodiscard]] auto encode(changes_answer const& answer) -> std::string;
 
--- a/linnetlane/router/peers_test.cpp
+++ b/linnetlane/router/peers_test.cpp
@@ -310,5 +310,43 @@
     BOOST_TEST(!feed.has_followers(start + registry_feed::follower_window * 2));
 }
 
+BOOST_AUTO_TEST_CASE(a_forwarded_request_survives_the_wire) {
+    BOOST_TEST(rc::check([](std::string const& body) {
+        auto sent = runtime::http_request{"POST", "/p/x?y=1", {}, body};
+        sent.fields.add("Host", "a.example");
+        sent.fields.add("X-Twice", "1");
+        sent.fields.add("X-Twice", "2");
+        auto const message = make_forward_request(sent, std::chrono::milliseconds{1500});
+        auto const read = decode_forwarded(message.body);
+        RC_ASSERT(read.has_value());
+        RC_ASSERT(read->request.method == sent.method);
+        RC_ASSERT(read->request.target == sent.target);
+        RC_ASSERT(read->request.body == sent.body);
+        RC_ASSERT(read->request.fields.entries == sent.fields.entries);
+        RC_ASSERT(read->time_left == std::chrono::milliseconds{1500});
+    }));
+}
+
+BOOST_AUTO_TEST_CASE(malformed_forwarded_requests_are_rejected) {
+    BOOST_TEST(!decode_forwarded("").has_value());
+    BOOST_TEST(!decode_forwarded(make_forward_request({"", "/", {}, {}}, {}).body).has_value());
+    BOOST_TEST(
+        rc::check([](std::string const& bytes) { static_cast<void>(decode_forwarded(bytes)); }));
+}
+
+BOOST_AUTO_TEST_CASE(only_a_host_that_ran_nothing_refuses_a_forwarded_request) {
+    auto response = runtime::http_response{503, {}, {}};
+    auto head = upstream_answer{};
+    head.status = 503;
+    BOOST_TEST(!is_forward_refusal(head, response.fields));
+    mark_forward_refusal(response);
+    BOOST_TEST(is_forward_refusal(head, response.fields));
+    // Hosts of older versions don't know the message; an upstream's own 400 is an answer.
+    head.status = 400;
+    BOOST_TEST(is_forward_refusal(head, {}));
+    head.attested = true;
+    BOOST_TEST(!is_forward_refusal(head, {}));
+}
+
 }  // namespace
 }  // namespace linnetlane::router
--- a/linnetlane/router/plain_forwarder.h
+++ b/linnetlane/router/plain_forwarder.h
@@ -44,9 +44,9 @@
             if (now >= this->context.answer_by) {
                 return this->give_up(refusal_reason::timed_out);
             }
-            auto const target = this->next_target(now);
+            auto const target = this->is_isolated(now) ? std::nullopt : this->next_target(now);
             if (!target) {
-                return this->give_up(this->last_reason);
+                return this->sent_nothing() ? unsent_request() : this->give_up(this->last_reason);
             }
             if (auto const end = this->attempt(*target)) {
                 return *end;
@@ -70,6 +70,17 @@
         return false;
     }
 
+    // Returns whether further attempts would fail like the last one, because this host reaches no
+    // upstream.
+    [[nodiscard]] auto is_isolated(base::time_point now) const -> bool {
+        return this->sent_nothing() && this->context.host.view.isolation.is_isolated(now);
+    }
+    // Returns whether upstreams were tried and none was reached.
+    [[nodiscard]] auto sent_nothing() const -> bool {
+        return this->sends > 0 && this->possible_deliveries == 0 &&
+               this->last_reason == refusal_reason::upstreams_unreachable;
+    }
+
     // Returns the upstream to send to next, or nothing if none is available or no further send is
     // allowed.
     auto next_target(base::time_point now) -> std::optional<routing::upstream_record> {
@@ -108,10 +119,10 @@
         pool.started(target.id);
         auto const sent_at = base::monotonic_clock::now();
         auto const options = send_options{target.id, this->context.answer_by - sent_at};
-        auto result =
-            exchange<Wire>(this->context, target.address,
-                           Wire::make_execute_request(this->context.caller, options),
-                           connection_use_for(this->context.route), this->context.answer_by);
+        auto result = exchange_with_upstream<Wire>(
+            this->context, target.address,
+            Wire::make_execute_request(this->context.caller, options),
+            connection_use_for(this->context.route), this->context.answer_by);
         if (auto const* const failure = std::get_if<exchange_failure_kind>(&result)) {
             return this->after_failure(target, *failure, sent_at);
         }
--- a/linnetlane/router/registry_follower.h
+++ b/linnetlane/router/registry_follower.h
@@ -437,12 +437,10 @@
             configuration ? configuration->version : routing::configuration_version{}};
         question.complete = !position;
         question.sender = this->host.view.relays.own_entry();
-        auto request = runtime::http_request{"POST", "/upstream-changes", {}, {}};
-        request.body = encode(question);
-        auto const answered =
-            runtime::fetch(*relay.peers, request, runtime::connection_use::pooled,
-                           base::monotonic_clock::now() + follower_timing::peer_wait +
-                               follower_timing::peer_timeout_margin);
+        auto const answered = runtime::fetch(
+            *relay.peers, make_changes_request(question), runtime::connection_use::pooled,
+            base::monotonic_clock::now() + follower_timing::peer_wait +
+                follower_timing::peer_timeout_margin);
         auto const* const response = std::get_if<runtime::http_response>(&answered);
         if (response == nullptr || response->status != 200) {
             return registry_failure::malformed;
--- a/linnetlane/router/request_context.h
+++ b/linnetlane/router/request_context.h
@@ -13,6 +13,7 @@
 #include "linnetlane/base/time.h"
 #include "linnetlane/router/cancellation.h"
 #include "linnetlane/router/messages.h"
+#include "linnetlane/router/peer_codec.h"
 #include "linnetlane/router/router_metrics.h"
 #include "linnetlane/router/routing_view.h"
 #include "linnetlane/router/settings.h"
@@ -45,6 +46,8 @@
     cancellation& cancelled;
     // The software version that began the stream which the request resumes, if it resumes one.
     std::optional<base::software_version> required;
+    // Another host sent the request, so that it is not sent on to a third one.
+    bool from_peer = false;
 
     [[nodiscard]] auto state() const -> service_state& {
         return this->host.view.service(this->service);
@@ -58,8 +61,19 @@
     int status = 0;
     std::optional<refusal_reason> refused = std::nullopt;
     std::optional<base::duration> retry_after = std::nullopt;
+    // No upstream could be reached, and the request has not run. The caller has not been answered.
+    bool unsent = false;
 };
 
+// Returns the result of a request that reached no upstream, for which the caller is still to be
+// answered.
+[[nodiscard]] inline auto unsent_request() -> request_result {
+    auto result = request_result{request_outcome::refused, 0};
+    result.refused = refusal_reason::upstreams_unreachable;
+    result.unsent = true;
+    return result;
+}
+
 // ---- Exchanges with upstreams ----
 
 enum class exchange_failure_kind {
@@ -127,6 +141,25 @@
     return exchange_failure_kind::unknown;
 }
 
+// As `exchange`, with an upstream. Records whether upstreams can be reached.
+template <router_wire Wire>
+auto exchange_with_upstream(request_context const& context, base::endpoint const& to,
+                            runtime::http_request const& message, runtime::connection_use use,
+                            base::time_point deadline) -> exchange_result {
+    auto& isolation = context.host.view.isolation;
+    isolation.note_sent(to, base::monotonic_clock::now());
+    auto result = exchange<Wire>(context, to, message, use, deadline);
+    auto const* const failure = std::get_if<exchange_failure_kind>(&result);
+    if (failure == nullptr) {
+        isolation.note_answer();
+    } else if (*failure == exchange_failure_kind::caller_left) {
+        isolation.note_abandoned(to, base::monotonic_clock::now());
+    } else {
+        isolation.note_no_answer(to);
+    }
+    return result;
+}
+
 // The timeout of a release. By then the engine has freed the memory by itself.
 inline constexpr auto release_timeout = std::chrono::seconds{1};
 
@@ -148,7 +181,10 @@
 // Answers the request with a refusal.
 template <router_wire Wire>
 auto refuse(request_context const& context, refusal const& refused) -> request_result {
-    auto const response = Wire::write_refusal(refused, context.caller);
+    auto response = Wire::write_refusal(refused, context.caller);
+    if (context.from_peer && refused.reason == refusal_reason::upstreams_unreachable) {
+        mark_forward_refusal(response);
+    }
     auto const sent = context.responder.send(response);
     return request_result{sent ? request_outcome::refused : request_outcome::caller_left,
                           response.status, refused.reason, refused.retry_after};
--- a/linnetlane/router/router_metrics.cpp
+++ b/linnetlane/router/router_metrics.cpp
@@ -84,6 +84,9 @@
                         "Requests sent to an upstream once more.")},
       reservations{&counters(*this->registry, "linnetlane_reservations_total",
                              "Reservations that engines were asked for, by answer.")},
+      forwarded{&counters(*this->registry, "linnetlane_forwarded_requests_total",
+                          "Requests that reached no upstream from this host, and whether another "
+                          "host took them.")},
       prefill_tokens{&counters(*this->registry, "linnetlane_prefill_tokens_total",
                                "Prompt tokens that prefill engines read.")
                           .Add({})},
@@ -119,6 +122,10 @@
     this->reservations->Add({{"answer", granted ? "granted" : "no_room"}}).Increment();
 }
 
+auto router_metrics::count_forwarded(bool taken) -> void {
+    this->forwarded->Add({{"taken", taken ? "yes" : "no"}}).Increment();
+}
+
 auto router_metrics::count_prefill(base::token_count tokens) -> void {
     this->prefill_tokens->Increment(static_cast<double>(tokens.value));
 }
--- a/linnetlane/router/router_metrics.h
+++ b/linnetlane/router/router_metrics.h
@@ -43,6 +43,8 @@
     auto count_prefill(base::token_count tokens) -> void;
     // Counts prompt tokens that were prefilled for an answer that never started.
     auto count_wasted_prefill(base::token_count tokens) -> void;
+    // Counts a request that reached no upstream from this host, and whether another host took it.
+    auto count_forwarded(bool taken) -> void;
     auto observe_first_event(base::duration took) -> void;
     auto count_registry_failure() -> void;
     auto set_upstreams(std::size_t count) -> void;
@@ -58,6 +60,7 @@
     prometheus::Family<prometheus::Counter>* refusals;
     prometheus::Family<prometheus::Counter>* retries;
     prometheus::Family<prometheus::Counter>* reservations;
+    prometheus::Family<prometheus::Counter>* forwarded;
     prometheus::Counter* prefill_tokens;
     prometheus::Counter* wasted_prefill_tokens;
     prometheus::Histogram* first_event_seconds;
--- a/linnetlane/router/routing_view.h
+++ b/linnetlane/router/routing_view.h
@@ -14,6 +14,7 @@
 #include "linnetlane/base/ids.h"
 #include "linnetlane/base/time.h"
 #include "linnetlane/router/messages.h"
+#include "linnetlane/router/peer_directory.h"
 #include "linnetlane/router/registry_feed.h"
 #include "linnetlane/router/relay_selector.h"
 #include "linnetlane/router/settings.h"
@@ -21,6 +22,7 @@
 #include "linnetlane/routing/admission.h"
 #include "linnetlane/routing/configuration.h"
 #include "linnetlane/routing/generation_pool.h"
+#include "linnetlane/routing/isolation_detector.h"
 #include "linnetlane/routing/plain_pool.h"
 #include "linnetlane/routing/prefill_limiter.h"
 #include "linnetlane/routing/retry_budget.h"
@@ -95,6 +97,9 @@
     registry_feed feed;
     relay_selector relays;
     stream_origins origins;
+    routing::isolation_detector isolation;
+    // The hosts that forward requests while this one is isolated from the upstreams.
+    peer_directory peers;
     // This host reads the registry itself.
     bool reads_registry = false;
 
