Router: isolation from the upstreams of one service is noticed by itself

A host that had lost its paths to the upstreams of one service still heard those of another, so that isolation_detector never reported it: plain requests that may run once were sent on connections that hang, and ended 504. Change: each service has a detector of its own beside that of the host; probes go to upstreams of the service. Conclusion: a service with a single upstream is still noticed only together with others.

--- a/linnetlane/router/generation_forwarder.h
+++ b/linnetlane/router/generation_forwarder.h
@@ -161,8 +161,7 @@
 
     auto reserve_at(routing::upstream_record engine) -> std::optional<decode_reservation> {
         auto const now = base::monotonic_clock::now();
-        auto& isolation = this->context.host.view.isolation;
-        isolation.note_sent(engine.address, now);
+        this->context.note_sent(engine.address, now);
         auto const called = runtime::fetch(
             engine.address,
             Wire::make_reserve_request(engine.id, this->reserved_tokens(), this->reservation_ttl()),
@@ -170,13 +169,13 @@
             std::min(this->context.answer_by, now + reservation_timeout));
         auto& pool = this->context.state().generation;
         if (base::failure_of(called) != nullptr) {
-            isolation.note_no_answer(engine.address);
+            this->context.note_no_answer(engine.address);
             this->reached_none = true;
             pool.note_outcome(engine.id, routing::exchange_outcome::transport_failure, now);
             this->log_step(engine.id, "reservation got no answer");
             return std::nullopt;
         }
-        isolation.note_answer();
+        this->context.note_answer();
         this->reached_none = false;
         auto const& response = base::value_of(called);
         auto const head = Wire::read_answer(response.status, response.fields);
@@ -292,8 +291,7 @@
     // Returns whether further attempts would fail like the last one, because this host reaches no
     // upstream.
     [[nodiscard]] auto is_isolated() const -> bool {
-        return this->reached_none &&
-               this->context.host.view.isolation.is_isolated(base::monotonic_clock::now());
+        return this->reached_none && this->context.is_isolated(base::monotonic_clock::now());
     }
 
     // The first prefill of a request is always allowed; further ones use the retry budget.
--- a/linnetlane/router/host.h
+++ b/linnetlane/router/host.h
@@ -260,8 +260,9 @@
 
     auto forward(request_context const& context) -> void {
         auto const generates = context.route.generates && context.caller.size.has_value();
-        auto end = this->isolation.is_isolated() ? unsent_request()
-                                                 : this->forward_to_upstream(context, generates);
+        auto end = this->isolation.is_isolated(context)
+                       ? unsent_request()
+                       : this->forward_to_upstream(context, generates);
         if (end.unsent && !context.from_peer) {
             end = this->forward_by_peer(context).value_or(end);
         }
--- a/linnetlane/router/isolation_watch.h
+++ b/linnetlane/router/isolation_watch.h
@@ -1,5 +1,5 @@
-// Ends the isolation of a host from the upstreams: while requests go through other hosts, probes
-// upstreams until one answers, and keeps the list of the other hosts current.
+// Ends the isolation of a host from the upstreams of a service: while requests go through other
+// hosts, probes upstreams until one answers, and keeps the list of the other hosts current.
 
 #ifndef LINNETLANE_ROUTER_ISOLATION_WATCH_H_
 #define LINNETLANE_ROUTER_ISOLATION_WATCH_H_
@@ -8,6 +8,7 @@
 #include <chrono>
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 #include "linnetlane/router/messages.h"
@@ -32,14 +33,14 @@
     isolation_watch(Registry& own_registry, host_context const& own_host)
         : registry{own_registry}, host{own_host} {}
 
-    // Returns whether this host reaches no upstream. Starts the probes if it doesn't.
-    auto is_isolated() -> bool {
-        if (!this->host.view.isolation.is_isolated(base::monotonic_clock::now())) {
+    // Returns whether this host reaches no upstream of the request's service. Starts the probes if
+    // it doesn't.
+    auto is_isolated(request_context const& context) -> bool {
+        if (!context.is_isolated(base::monotonic_clock::now())) {
             return false;
         }
-        if (!this->watching) {
-            this->watching = true;
-            this->host.pool.spawn([this] { this->watch(); });
+        if (this->watched.insert(context.service).second) {
+            this->host.pool.spawn([this, service = context.service] { this->watch(service); });
         }
         return true;
     }
@@ -77,25 +78,30 @@
     }
 
 private:
-    auto watch() -> void {
+    auto watch(base::service_id const& service) -> void {
         auto const began = base::monotonic_clock::now();
-        this->host.log.write(
-            telemetry::log_level::warning, "no upstream answers",
-            {{"upstreams", static_cast<std::int64_t>(this->host.view.upstreams.all().size())}});
-        while (this->host.view.isolation.is_isolated(base::monotonic_clock::now()) &&
-               !this->probe()) {
+        auto& all = this->host.view.isolation;
+        auto& own = this->host.view.service(service).isolation;
+        this->host.log.write(telemetry::log_level::warning, "no upstream answers",
+                             {service, {"of_all_services", all.is_isolated(began)}});
+        auto const is_isolated = [&] {
+            auto const now = base::monotonic_clock::now();
+            return all.is_isolated(now) || own.is_isolated(now);
+        };
+        while (is_isolated() && !this->probe(service)) {
             this->refresh_peers();
             runtime::sleep_until(base::monotonic_clock::now() + probe_interval);
         }
-        this->host.view.isolation.note_answer();
+        all.note_answer();
+        own.note_answer();
         this->host.log.write(telemetry::log_level::info, "an upstream answers again",
-                             {{"after", base::monotonic_clock::now() - began}});
-        this->watching = false;
+                             {service, {"after", base::monotonic_clock::now() - began}});
+        this->watched.erase(service);
     }
 
-    // Returns whether an upstream answered on a new connection.
-    auto probe() -> bool {
-        auto const target = this->draw_upstream();
+    // Returns whether an upstream of the service answered on a new connection.
+    auto probe(base::service_id const& service) -> bool {
+        auto const target = this->draw_upstream(service);
         if (!target) {
             return false;
         }
@@ -105,14 +111,13 @@
         return base::succeeded(answered);
     }
 
-    // Draws an engine, whose report costs it no capacity, or another upstream if there is none.
-    auto draw_upstream() -> std::optional<routing::upstream_record> {
-        auto engines = std::vector<routing::upstream_record const*>{};
-        auto others = std::vector<routing::upstream_record const*>{};
+    auto draw_upstream(base::service_id const& service) -> std::optional<routing::upstream_record> {
+        auto from = std::vector<routing::upstream_record const*>{};
         for (auto const& [id, record] : this->host.view.upstreams.all()) {
-            (record.stage ? engines : others).push_back(&record);
+            if (record.service == service) {
+                from.push_back(&record);
+            }
         }
-        auto const& from = engines.empty() ? others : engines;
         if (from.empty()) {
             return std::nullopt;
         }
@@ -155,7 +160,8 @@
 
     Registry& registry;
     host_context const& host;
-    bool watching = false;
+    // The services whose upstreams are probed.
+    std::set<base::service_id> watched;
     bool refreshing = false;
 };
 
--- a/linnetlane/router/plain_forwarder.h
+++ b/linnetlane/router/plain_forwarder.h
@@ -73,7 +73,7 @@
     // Returns whether further attempts would fail like the last one, because this host reaches no
     // upstream.
     [[nodiscard]] auto is_isolated(base::time_point now) const -> bool {
-        return this->sent_nothing() && this->context.host.view.isolation.is_isolated(now);
+        return this->sent_nothing() && this->context.is_isolated(now);
     }
     // Returns whether upstreams were tried and none was reached.
     [[nodiscard]] auto sent_nothing() const -> bool {
--- a/linnetlane/router/request_context.h
+++ b/linnetlane/router/request_context.h
@@ -52,6 +52,28 @@
     [[nodiscard]] auto state() const -> service_state& {
         return this->host.view.service(this->service);
     }
+    // Returns whether this host reaches no upstream, or none of the service.
+    [[nodiscard]] auto is_isolated(base::time_point now) const -> bool {
+        return this->host.view.isolation.is_isolated(now) ||
+               this->state().isolation.is_isolated(now);
+    }
+    // Record the begin and the end of an exchange with an upstream.
+    auto note_sent(base::endpoint const& to, base::time_point now) const -> void {
+        this->host.view.isolation.note_sent(to, now);
+        this->state().isolation.note_sent(to, now);
+    }
+    auto note_answer() const -> void {
+        this->host.view.isolation.note_answer();
+        this->state().isolation.note_answer();
+    }
+    auto note_no_answer(base::endpoint const& to) const -> void {
+        this->host.view.isolation.note_no_answer(to);
+        this->state().isolation.note_no_answer(to);
+    }
+    auto note_abandoned(base::endpoint const& to, base::time_point now) const -> void {
+        this->host.view.isolation.note_abandoned(to, now);
+        this->state().isolation.note_abandoned(to, now);
+    }
 };
 
 // The result of a request, for metrics and the log.
@@ -146,16 +168,15 @@
 auto exchange_with_upstream(request_context const& context, base::endpoint const& to,
                             runtime::http_request const& message, runtime::connection_use use,
                             base::time_point deadline) -> exchange_result {
-    auto& isolation = context.host.view.isolation;
-    isolation.note_sent(to, base::monotonic_clock::now());
+    context.note_sent(to, base::monotonic_clock::now());
     auto result = exchange<Wire>(context, to, message, use, deadline);
     auto const* const failure = std::get_if<exchange_failure_kind>(&result);
     if (failure == nullptr) {
-        isolation.note_answer();
+        context.note_answer();
     } else if (*failure == exchange_failure_kind::caller_left) {
-        isolation.note_abandoned(to, base::monotonic_clock::now());
+        context.note_abandoned(to, base::monotonic_clock::now());
     } else {
-        isolation.note_no_answer(to);
+        context.note_no_answer(to);
     }
     return result;
 }
--- a/linnetlane/router/routing_view.h
+++ b/linnetlane/router/routing_view.h
@@ -43,6 +43,8 @@
     routing::retry_budget retries;
     routing::admission_controller admission;
     routing::version_history versions;
+    // Whether this host reaches the upstreams of the service.
+    routing::isolation_detector isolation;
 };
 
 // Not thread-safe; must be used on one worker only.
@@ -97,6 +99,8 @@
     registry_feed feed;
     relay_selector relays;
     stream_origins origins;
+    // Whether this host reaches any upstream. With few requests for one service, the silence of all
+    // shows earlier than that of the service.
     routing::isolation_detector isolation;
     // The hosts that forward requests while this one is isolated from the upstreams.
     peer_directory peers;
--- a/linnetlane/router/stream_relay.h
+++ b/linnetlane/router/stream_relay.h
@@ -29,7 +29,7 @@
                 this->framing.discard_incomplete();
                 return this->outcome_for(*failed);
             }
-            this->context.host.view.isolation.note_answer();
+            this->context.note_answer();
             auto const& bytes = base::value_of(piece);
             if (bytes.empty()) {
                 return this->finish();
