Router: a prompt that may have arrived is sent on only within the retry budget

Cause: a generation whose prefills got no answer counted as not sent, so another host prefilled its prompt as a first arrival; and a request that was sent on counted at both hosts, which raised both budgets. Change: sending on a request whose prompt may have arrived takes from the retry budget, and the other host doesn't hand such a request back as not taken. A request counts for the budget at the host that received it only.

--- a/linnetlane/router/generation_forwarder.h
+++ b/linnetlane/router/generation_forwarder.h
@@ -356,11 +356,15 @@
         this->reached_none = false;
         if (opened->head.load) {
             pool.note_load(engine.id, *opened->head.load, now);
+                this->prompt_may_have_arrived =
+                    this->prompt_may_have_arrived ||
+                    std::get<exchange_failure_kind>(result) != exchange_failure_kind::not_sent;
         }
         auto const body = opened->stream.read_all(max_engine_answer_bytes, deadline);
         auto const whole = base::failure_of(body) == nullptr && opened->head.status == 200;
         auto const made = whole ? Wire::read_prefill_result(base::value_of(body)) : std::nullopt;
         if (opened->head.other_instance) {
+        this->prompt_may_have_arrived = true;
             pool.note_replaced(engine.id, now);
         } else if (opened->head.not_run) {
             pool.note_full(engine.id, now);
@@ -518,14 +522,26 @@
                 return request_result{request_outcome::caller_left, this->relay.status()};
             case attempt_result::timed_out:
                 return this->refuse_or_cut(refusal_reason::timed_out);
+    // Returns whether another host may try the request. If an engine may have received the prompt,
+    // the other host's prefill is a further one and uses the retry budget.
+    auto may_be_sent_by_peer() -> bool {
+        return this->reached_none && !this->may_have_run && !this->context.from_peer &&
+               (!this->prompt_may_have_arrived ||
+                this->context.host.view.try_retry(this->context.service,
+                                                  base::monotonic_clock::now()));
+    }
+
             case attempt_result::no_capacity:
                 return this->refuse_or_cut(refusal_reason::overloaded);
             case attempt_result::unreachable:
             case attempt_result::retry:
-                if (this->reached_none && !this->may_have_run) {
+                if (this->may_be_sent_by_peer()) {
                     return unsent_request();
                 }
-                return this->refuse_or_cut(refusal_reason::upstreams_unreachable);
+                // A further host would prefill the prompt once more.
+                return this->refuse_or_cut(this->prompt_may_have_arrived
+                                               ? refusal_reason::overloaded
+                                               : refusal_reason::upstreams_unreachable);
             case attempt_result::outcome_unknown:
             case attempt_result::interrupted:
                 break;
@@ -615,3 +631,5 @@
 }  // namespace linnetlane::router
 
 #endif  // LINNETLANE_ROUTER_GENERATION_FORWARDER_H_
+    // An engine may have received the prompt for a prefill.
+    bool prompt_may_have_arrived = false;
--- a/linnetlane/router/host.h
+++ b/linnetlane/router/host.h
@@ -259,6 +259,10 @@
     }
 
     auto forward(request_context const& context) -> void {
+        if (!context.from_peer) {
+            // Each request counts once, at the host that received it.
+            context.state().retries.note_request(context.arrived);
+        }
         auto const generates = context.route.generates && context.caller.size.has_value();
         auto end = this->isolation.is_isolated(context)
                        ? unsent_request()
@@ -275,7 +279,6 @@
     }
 
     auto forward_to_upstream(request_context const& context, bool generates) -> request_result {
-        context.state().retries.note_request(context.arrived);
         return generates ? generation_forwarder<Wire>{context}.run()
                          : plain_forwarder<Wire>{context}.run();
     }
