Router: a request doesn't wait for the list of other hosts longer than its time

Cause: the first request of a host that reaches no upstream read the list of hosts and asked up to eight of them, 200 ms each, one after the other and without regard to the request's time. Change: the list is read within the request's time, the hosts that it names are asked in the background, and other requests wait for the list no longer than their time.

--- a/linnetlane/router/host.h
+++ b/linnetlane/router/host.h
@@ -286,7 +286,7 @@
     // Sends a request that reached no upstream through another host. Returns nothing if no host
     // took it.
     auto forward_by_peer(request_context const& context) -> std::optional<request_result> {
-        this->isolation.refresh_peers();
+        this->isolation.refresh_peers(context.answer_by);
         auto const end = peer_forwarder<Wire>{context}.run();
         this->metrics.count_forwarded(end.has_value());
         return end;
--- a/linnetlane/router/isolation_watch.h
+++ b/linnetlane/router/isolation_watch.h
@@ -6,7 +6,6 @@
 
 #include <algorithm>
 #include <chrono>
-#include <map>
 #include <optional>
 #include <set>
 #include <vector>
@@ -25,6 +24,7 @@
     static constexpr auto probe_timeout = std::chrono::milliseconds{300};
     static constexpr auto probe_interval = std::chrono::milliseconds{200};
     static constexpr auto list_timeout = std::chrono::milliseconds{400};
+    static constexpr auto refresh_check_interval = std::chrono::milliseconds{5};
     // The time for a host to tell which hosts follow it.
     static constexpr auto peer_timeout = std::chrono::milliseconds{200};
     // The number of hosts that are asked which hosts follow them.
@@ -45,39 +45,44 @@
         return true;
     }
 
-    // Reads the list of the other hosts if it is outdated. Suspends the calling fiber.
-    auto refresh_peers() -> void {
-        if (this->refreshing || this->host.view.peers.is_current(base::monotonic_clock::now())) {
+    // Reads the list of the other hosts if it is outdated. Suspends the calling fiber, at most
+    // until `deadline`.
+    auto refresh_peers(base::time_point deadline) -> void {
+        while (this->refreshing && base::monotonic_clock::now() < deadline) {
+            runtime::sleep_until(base::monotonic_clock::now() + refresh_check_interval);
+        }
+        auto const now = base::monotonic_clock::now();
+        if (this->refreshing || this->host.view.peers.is_current(now)) {
             return;
         }
         this->refreshing = true;
-        auto known = std::map<base::host_id, host_entry>{};
-        auto const add = [&](std::vector<host_entry> const& hosts) {
-            for (auto const& each : hosts) {
-                known.insert_or_assign(each.host, each);
-            }
-        };
-        auto const now = base::monotonic_clock::now();
-        add(this->host.view.relays.order_for_followers(now));
-        auto const listing = this->registry.list_hosts(freshness::may_be_stale, now + list_timeout);
+        auto& peers = this->host.view.peers;
+        auto known = this->host.view.relays.order_for_followers(now);
+        auto const listing = this->registry.list_hosts(freshness::may_be_stale,
+                                                       std::min(deadline, now + list_timeout));
         if (auto const* const listed = std::get_if<host_listing>(&listing)) {
             for (auto const& each : listed->hosts) {
-                known.insert_or_assign(each.entry.host, each.entry);
+                known.push_back(each.entry);
             }
+            // A request doesn't wait for the hosts that follow the registered ones.
             for (auto const& each : this->draw_some(listed->hosts)) {
-                add(this->ask_followers(each));
+                this->host.pool.spawn([this, each] { this->add_peers(this->ask_followers(each)); });
             }
         }
-        known.erase(this->host.settings.host);
-        auto all = std::vector<host_entry>{};
-        for (auto& [id, entry] : known) {
-            all.push_back(std::move(entry));
-        }
-        this->host.view.peers.replace(all, base::monotonic_clock::now());
+        peers.restart(base::monotonic_clock::now());
+        this->add_peers(known);
         this->refreshing = false;
     }
 
 private:
+    auto add_peers(std::vector<host_entry> const& hosts) -> void {
+        for (auto const& each : hosts) {
+            if (each.host != this->host.settings.host) {
+                this->host.view.peers.add(each);
+            }
+        }
+    }
+
     auto watch(base::service_id const& service) -> void {
         auto const began = base::monotonic_clock::now();
         auto& all = this->host.view.isolation;
@@ -89,7 +94,7 @@
             return all.is_isolated(now) || own.is_isolated(now);
         };
         while (is_isolated() && !this->probe(service)) {
-            this->refresh_peers();
+            this->refresh_peers(base::monotonic_clock::now() + list_timeout);
             runtime::sleep_until(base::monotonic_clock::now() + probe_interval);
         }
         all.note_answer();
--- a/linnetlane/router/peer_directory.h
+++ b/linnetlane/router/peer_directory.h
@@ -1,6 +1,7 @@
 // The hosts that can forward requests for this one while it reaches no upstream.
 //
-//   directory.replace(hosts, now);
+//   directory.restart(now);
+//   directory.add(host);
 //   auto const peer = directory.pick(tried, draw, now);
 //   directory.note_unusable(peer->host, now);   // it didn't take the request
 
@@ -30,16 +31,17 @@
     // How long a host that didn't take a request is skipped.
     static constexpr auto unusable_time = std::chrono::seconds{2};
 
-    // Replaces the hosts. Those without an address for other hosts are left out.
-    auto replace(std::vector<host_entry> const& hosts, base::time_point now) -> void {
+    // Begins a new list.
+    auto restart(base::time_point now) -> void {
         this->peers.clear();
-        for (auto const& host : hosts) {
-            if (host.peers) {
-                this->peers.insert_or_assign(host.host, host);
-            }
-        }
         this->read_at = now;
     }
+    // Adds a host, unless it has no address for other hosts.
+    auto add(host_entry const& host) -> void {
+        if (host.peers) {
+            this->peers.insert_or_assign(host.host, host);
+        }
+    }
     [[nodiscard]] auto is_current(base::time_point now) const -> bool {
         return this->read_at && now - *this->read_at < max_age;
     }
