Router: upstreams that say they leave, or ask for a pause, get nothing more

Change: what an answer says of its upstream is recorded at every exchange: requests, reservations, prefills, decodes and reports. Leaving holds until the process restarts or its record is removed, also without a start time in the record; a reservation at a leaving engine is released, since the stream could outlast it. A pause holds per upstream, also if its record is dropped for a moment, and ends with a restart. If all upstreams of a service or stage want a pause, callers are refused at once and told its end. Ruled out: passing a refused request on to other hosts, which the pause doesn't bind: the upstreams are full.

--- a/linnetlane/router/generation_forwarder.h
+++ b/linnetlane/router/generation_forwarder.h
@@ -179,6 +179,7 @@
         this->reached_none = false;
         auto const& response = base::value_of(called);
         auto const head = Wire::read_answer(response.status, response.fields);
+        note_announcements(this->context.host, this->context.service, engine.id, head);
         if (head.load) {
             pool.note_load(engine.id, *head.load, now);
         }
@@ -190,7 +191,13 @@
             pool.note_full(engine.id, now);
             return std::nullopt;
         }
-        return decode_reservation{std::move(engine), *granted};
+        auto reserved = decode_reservation{std::move(engine), *granted};
+        if (head.leaving) {
+            // The stream could outlast the engine.
+            this->release(reserved);
+            return std::nullopt;
+        }
+        return reserved;
     }
 
     [[nodiscard]] auto reserved_tokens() const -> base::token_count {
@@ -349,22 +356,23 @@
         if (opened == nullptr) {
             if (!this->context.cancelled.cancelled()) {
                 this->reached_none = true;
+                this->prompt_may_have_arrived =
+                    this->prompt_may_have_arrived ||
+                    std::get<exchange_failure_kind>(result) != exchange_failure_kind::not_sent;
                 pool.note_outcome(engine.id, routing::exchange_outcome::transport_failure, now);
             }
             return std::nullopt;
         }
         this->reached_none = false;
+        this->prompt_may_have_arrived = true;
+        note_announcements(this->context.host, this->context.service, engine.id, opened->head);
         if (opened->head.load) {
             pool.note_load(engine.id, *opened->head.load, now);
-                this->prompt_may_have_arrived =
-                    this->prompt_may_have_arrived ||
-                    std::get<exchange_failure_kind>(result) != exchange_failure_kind::not_sent;
         }
         auto const body = opened->stream.read_all(max_engine_answer_bytes, deadline);
         auto const whole = base::failure_of(body) == nullptr && opened->head.status == 200;
         auto const made = whole ? Wire::read_prefill_result(base::value_of(body)) : std::nullopt;
         if (opened->head.other_instance) {
-        this->prompt_may_have_arrived = true;
             pool.note_replaced(engine.id, now);
         } else if (opened->head.not_run) {
             pool.note_full(engine.id, now);
@@ -388,6 +396,11 @@
     auto decode(decode_reservation const& reserved, prefill_location const& source)
         -> attempt_result {
         auto const now = base::monotonic_clock::now();
+        if (this->context.state().generation.is_paused(reserved.engine.id, now)) {
+            this->release(reserved);
+            this->discard(source);
+            return attempt_result::retry;
+        }
         if (this->decodes++ > 0 && !this->may_decode_again(now)) {
             this->release(reserved);
             this->discard(source);
@@ -438,6 +451,8 @@
                            opened_answer& opened) -> attempt_result {
         auto& pool = this->context.state().generation;
         auto const now = base::monotonic_clock::now();
+        note_announcements(this->context.host, this->context.service, reserved.engine.id,
+                           opened.head);
         if (opened.head.load) {
             pool.note_load(reserved.engine.id, *opened.head.load, now);
         }
@@ -508,6 +523,15 @@
 
     // ---- End of the request ----
 
+    // Returns whether another host may try the request. If an engine may have received the prompt,
+    // the other host's prefill is a further one and uses the retry budget.
+    auto may_be_sent_by_peer() -> bool {
+        return this->reached_none && !this->may_have_run && !this->context.from_peer &&
+               (!this->prompt_may_have_arrived ||
+                this->context.host.view.try_retry(this->context.service,
+                                                  base::monotonic_clock::now()));
+    }
+
     auto end(attempt_result result) -> request_result {
         this->log_end();
         switch (result) {
@@ -522,15 +546,6 @@
                 return request_result{request_outcome::caller_left, this->relay.status()};
             case attempt_result::timed_out:
                 return this->refuse_or_cut(refusal_reason::timed_out);
-    // Returns whether another host may try the request. If an engine may have received the prompt,
-    // the other host's prefill is a further one and uses the retry budget.
-    auto may_be_sent_by_peer() -> bool {
-        return this->reached_none && !this->may_have_run && !this->context.from_peer &&
-               (!this->prompt_may_have_arrived ||
-                this->context.host.view.try_retry(this->context.service,
-                                                  base::monotonic_clock::now()));
-    }
-
             case attempt_result::no_capacity:
                 return this->refuse_or_cut(refusal_reason::overloaded);
             case attempt_result::unreachable:
@@ -560,8 +575,11 @@
         if (claims_not_run && this->may_have_run) {
             refused.reason = refusal_reason::outcome_unknown;
         } else if (claims_not_run) {
-            refused.retry_after = routing::retry_after(this->context.route.target_latency,
-                                                       this->context.host.view.draw());
+            auto const paused =
+                this->context.state().generation.paused_for(base::monotonic_clock::now());
+            refused.retry_after =
+                std::max(paused, routing::retry_after(this->context.route.target_latency,
+                                                      this->context.host.view.draw()));
         }
         return refuse<Wire>(this->context, refused);
     }
@@ -619,6 +637,8 @@
     bool may_have_run = false;
     // The last step failed because the engine could not be reached.
     bool reached_none = false;
+    // An engine may have received the prompt for a prefill.
+    bool prompt_may_have_arrived = false;
     int forwarded_status = 0;
     // The status of the last prefill's answer, or 0 if there was none.
     int prefill_status = 0;
@@ -631,5 +651,3 @@
 }  // namespace linnetlane::router
 
 #endif  // LINNETLANE_ROUTER_GENERATION_FORWARDER_H_
-    // An engine may have received the prompt for a prefill.
-    bool prompt_may_have_arrived = false;
--- a/linnetlane/router/host_membership.h
+++ b/linnetlane/router/host_membership.h
@@ -384,7 +384,13 @@
             return order_outcome::declined;
         }
         auto const address = record->address;
-        auto const report = this->ask_report(change.engine, address);
+        auto const service = record->service;
+        if (this->host.view.service(service).generation.is_paused(change.engine,
+                                                                  base::monotonic_clock::now())) {
+            this->log_order(change, "the engine asked for a pause");
+            return order_outcome::declined;
+        }
+        auto const report = this->ask_report(change.engine, service, address);
         if (!report || report->busy) {
             this->log_order(change, report ? telemetry::literal{"another order is under way"}
                                            : telemetry::literal{"no report"});
@@ -412,12 +418,16 @@
                                                : order_outcome::declined;
     }
 
-    auto ask_report(base::upstream_id const& engine, base::endpoint const& address)
-        -> std::optional<engine_report> {
+    auto ask_report(base::upstream_id const& engine, base::service_id const& service,
+                    base::endpoint const& address) -> std::optional<engine_report> {
         auto const answered = runtime::fetch(address, Wire::make_report_request(engine),
                                              runtime::connection_use::pooled,
                                              base::monotonic_clock::now() + call_timeout);
         auto const* const response = std::get_if<runtime::http_response>(&answered);
+        if (response != nullptr) {
+            note_announcements(this->host, service, engine,
+                               Wire::read_answer(response->status, response->fields));
+        }
         return response != nullptr && response->status == 200 ? Wire::read_report(response->body)
                                                               : std::nullopt;
     }
--- a/linnetlane/router/isolation_watch.h
+++ b/linnetlane/router/isolation_watch.h
@@ -119,7 +119,9 @@
     auto draw_upstream(base::service_id const& service) -> std::optional<routing::upstream_record> {
         auto from = std::vector<routing::upstream_record const*>{};
         for (auto const& [id, record] : this->host.view.upstreams.all()) {
-            if (record.service == service) {
+            auto const paused = this->host.view.service(service).generation.is_paused(
+                id, base::monotonic_clock::now());
+            if (record.service == service && !paused) {
                 from.push_back(&record);
             }
         }
--- a/linnetlane/router/messages.h
+++ b/linnetlane/router/messages.h
@@ -84,6 +84,10 @@
     bool other_instance = false;
     // The upstream attests that the answer is its own. A success without this is not forwarded.
     bool attested = false;
+    // The upstream finishes its requests and wants no new ones.
+    bool leaving = false;
+    // The upstream wants nothing from this host for so long.
+    std::optional<base::duration> pause;
     std::optional<routing::load_report> load;
 };
 
--- a/linnetlane/router/plain_forwarder.h
+++ b/linnetlane/router/plain_forwarder.h
@@ -4,6 +4,7 @@
 #ifndef LINNETLANE_ROUTER_PLAIN_FORWARDER_H_
 #define LINNETLANE_ROUTER_PLAIN_FORWARDER_H_
 
+#include <algorithm>
 #include <cstddef>
 #include <optional>
 #include <set>
@@ -159,6 +160,7 @@
     auto after_head(routing::upstream_record const& target, opened_answer& opened,
                     base::time_point sent_at) -> std::optional<request_result> {
         auto const& head = opened.head;
+        note_announcements(this->context.host, this->context.service, target.id, head);
         if (head.not_run) {
             this->note(target, routing::exchange_outcome::rejected, sent_at, head.load);
             this->log_attempt(
@@ -250,8 +252,11 @@
         if (outcome_is_unknown) {
             refused.reason = refusal_reason::outcome_unknown;
         } else if (reason != refusal_reason::timed_out) {
-            refused.retry_after = routing::retry_after(this->context.route.target_latency,
-                                                       this->context.host.view.draw());
+            auto const paused =
+                this->context.state().plain.paused_for(base::monotonic_clock::now());
+            refused.retry_after =
+                std::max(paused, routing::retry_after(this->context.route.target_latency,
+                                                      this->context.host.view.draw()));
         }
         return refuse<Wire>(this->context, refused);
     }
--- a/linnetlane/router/request_context.h
+++ b/linnetlane/router/request_context.h
@@ -31,6 +31,24 @@
     router_settings const& settings;
 };
 
+// Records what an upstream's answer says of the upstream itself: that it leaves, or wants a pause.
+inline auto note_announcements(host_context const& host, base::service_id const& service,
+                               base::upstream_id const& from, upstream_answer const& answer)
+    -> void {
+    if (answer.leaving && host.view.note_leaving(from)) {
+        host.log.write(telemetry::log_level::info, "upstream says that it leaves", {from, service});
+    }
+    if (answer.pause) {
+        auto const now = base::monotonic_clock::now();
+        auto const until = now + *answer.pause;
+        auto& state = host.view.service(service);
+        state.plain.note_pause(from, until, now);
+        state.generation.note_pause(from, until, now);
+        host.log.write(telemetry::log_level::info, "upstream asks for a pause",
+                       {from, service, {"pause", *answer.pause}});
+    }
+}
+
 // One request and its environment. Lives until the request ends.
 struct request_context {
     host_context host;
--- a/linnetlane/router/routing_view.cpp
+++ b/linnetlane/router/routing_view.cpp
@@ -53,6 +53,14 @@
     }
 }
 
+auto routing_view::note_leaving(base::upstream_id const& id) -> bool {
+    auto const is_new = this->upstreams.note_leaving(id);
+    if (is_new) {
+        this->refresh_pools();
+    }
+    return is_new;
+}
+
 auto routing_view::note_stream(base::service_id const& id, stream_origin const& origin,
                                base::time_point now) -> void {
     this->origins.note(origin, this->service(id).versions.is_mixed(now), now);
--- a/linnetlane/router/routing_view.h
+++ b/linnetlane/router/routing_view.h
@@ -89,6 +89,8 @@
     // `request`.
     auto note_stream(base::service_id const& id, stream_origin const& origin, base::time_point now)
         -> void;
+    // Records that an upstream said that it leaves. Returns whether that is new.
+    auto note_leaving(base::upstream_id const& id) -> bool;
     // Takes one retry from the service's budget. Returns false if none is left.
     [[nodiscard]] auto try_retry(base::service_id const& id, base::time_point now) -> bool;
 
--- a/linnetlane/routing/generation_pool.cpp
+++ b/linnetlane/routing/generation_pool.cpp
@@ -65,7 +65,7 @@
     auto const usual = this->usual_others(engine_stage::decode, now);
     for (auto const& [id, one] : this->members) {
         ++index;
-        if (one.leaving || one.stage != engine_stage::decode ||
+        if (one.leaving || one.stage != engine_stage::decode || this->pauses.is_paused(id, now) ||
             (required && one.software != *required)) {
             continue;
         }
@@ -95,7 +95,8 @@
     auto const usual = this->usual_others(engine_stage::prefill, now);
     for (auto const& [id, one] : this->members) {
         ++index;
-        if (one.leaving || one.stage != engine_stage::prefill || tried.contains(id)) {
+        if (one.leaving || one.stage != engine_stage::prefill || tried.contains(id) ||
+            this->pauses.is_paused(id, now)) {
             continue;
         }
         auto const same_data_centre = decode_engine != this->members.end() &&
@@ -119,7 +120,8 @@
     auto const usual = this->usual_others(engine_stage::prefill, now);
     for (auto const& [id, one] : this->members) {
         if (one.leaving || one.stage != engine_stage::prefill || tried.contains(id) ||
-            this->is_last_resort(one, now) || now < one.full_until) {
+            this->pauses.is_paused(id, now) || this->is_last_resort(one, now) ||
+            now < one.full_until) {
             continue;
         }
         auto const tokens = this->load_of(one, usual, now);
@@ -132,7 +134,7 @@
 auto generation_pool::prefill_rate(base::time_point now) const -> double {
     auto const usable = std::ranges::count_if(this->members, [&](auto const& each) {
         return each.second.stage == engine_stage::prefill && !each.second.leaving &&
-               !this->is_last_resort(each.second, now);
+               !this->pauses.is_paused(each.first, now) && !this->is_last_resort(each.second, now);
     });
     auto const seconds = this->seconds_per_token * this->mean_prompt;
     return seconds > 0 ? static_cast<double>(usable) / seconds : 0;
@@ -168,6 +170,22 @@
                : this->load_of(found->second, this->usual_others(found->second.stage, now), now);
 }
 
+auto generation_pool::paused_for(base::time_point now) const -> base::duration {
+    auto least = std::map<engine_stage, base::duration>{};
+    for (auto const& [id, one] : this->members) {
+        if (!one.leaving) {
+            auto const left = this->pauses.time_left(id, now);
+            auto& known = least.try_emplace(one.stage, left).first->second;
+            known = std::min(known, left);
+        }
+    }
+    auto longest = base::duration::zero();
+    for (auto const& [stage, left] : least) {
+        longest = std::max(longest, left);
+    }
+    return longest;
+}
+
 auto generation_pool::note_full(base::upstream_id const& id, base::time_point now) -> void {
     if (auto const found = this->members.find(id); found != this->members.end()) {
         found->second.full_until = now + full_cooldown;
--- a/linnetlane/routing/generation_pool.h
+++ b/linnetlane/routing/generation_pool.h
@@ -20,6 +20,7 @@
 #include "linnetlane/routing/data_centre_reachability.h"
 #include "linnetlane/routing/load_report.h"
 #include "linnetlane/routing/upstream_health.h"
+#include "linnetlane/routing/upstream_pauses.h"
 #include "linnetlane/routing/upstream_set.h"
 
 namespace linnetlane::routing {
@@ -68,7 +69,21 @@
     // Replaces the engines of the service. Ignores records without a stage.
     auto set_members(std::vector<upstream_record> const& records) -> void;
     // Drops the load and health of an engine that has restarted.
-    auto forget(base::upstream_id const& id) -> void { this->members.erase(id); }
+    auto forget(base::upstream_id const& id) -> void {
+        this->members.erase(id);
+        this->pauses.forget(id);
+    }
+    // Records that an engine wants nothing from this host until `until`. It is no candidate before.
+    auto note_pause(base::upstream_id const& id, base::time_point until, base::time_point now)
+        -> void {
+        this->pauses.note(id, until, now);
+    }
+    [[nodiscard]] auto is_paused(base::upstream_id const& id, base::time_point now) const -> bool {
+        return this->pauses.is_paused(id, now);
+    }
+    // Returns how much longer all engines of a stage want nothing from this host; zero if each
+    // stage has one that takes requests, or none at all.
+    [[nodiscard]] auto paused_for(base::time_point now) const -> base::duration;
 
     // Returns at most `limit` decode engines to ask for a reservation, the best first. `draw` from
     // [0, 1) varies the order of engines with similar load. A stream that has begun may go on only
@@ -153,6 +168,7 @@
 
     data_centre_reachability* reachability;
     std::map<base::upstream_id, member> members;
+    upstream_pauses pauses;
     // The moving means of tokens per request and of tokens per prompt. They convert request counts
     // of other hosts into tokens.
     double mean_tokens = 0;
--- a/linnetlane/routing/plain_pool.cpp
+++ b/linnetlane/routing/plain_pool.cpp
@@ -41,7 +41,8 @@
     auto index = std::size_t{0};
     for (auto const& [id, one] : this->members) {
         ++index;
-        if (one.leaving || tried.contains(id) || (required && one.software != *required)) {
+        if (one.leaving || tried.contains(id) || this->pauses.is_paused(id, now) ||
+            (required && one.software != *required)) {
             continue;
         }
         auto const usable =
@@ -57,6 +58,17 @@
     return best;
 }
 
+auto plain_pool::paused_for(base::time_point now) const -> base::duration {
+    auto least = std::optional<base::duration>{};
+    for (auto const& [id, one] : this->members) {
+        if (!one.leaving) {
+            auto const left = this->pauses.time_left(id, now);
+            least = std::min(least.value_or(left), left);
+        }
+    }
+    return least.value_or(base::duration::zero());
+}
+
 auto plain_pool::started(base::upstream_id const& id) -> void {
     if (auto const found = this->members.find(id); found != this->members.end()) {
         ++found->second.under_way;
--- a/linnetlane/routing/plain_pool.h
+++ b/linnetlane/routing/plain_pool.h
@@ -17,6 +17,7 @@
 #include "linnetlane/routing/data_centre_reachability.h"
 #include "linnetlane/routing/load_report.h"
 #include "linnetlane/routing/upstream_health.h"
+#include "linnetlane/routing/upstream_pauses.h"
 #include "linnetlane/routing/upstream_set.h"
 
 namespace linnetlane::routing {
@@ -43,7 +44,18 @@
 
     // Replaces the upstreams of the service. Call `forget` first for upstreams that have restarted.
     auto set_members(std::vector<upstream_record> const& records) -> void;
-    auto forget(base::upstream_id const& id) -> void { this->members.erase(id); }
+    auto forget(base::upstream_id const& id) -> void {
+        this->members.erase(id);
+        this->pauses.forget(id);
+    }
+    // Records that an upstream wants nothing from this host until `until`. It is not picked before.
+    auto note_pause(base::upstream_id const& id, base::time_point until, base::time_point now)
+        -> void {
+        this->pauses.note(id, until, now);
+    }
+    // Returns how much longer all upstreams that could be picked want nothing from this host; zero
+    // if one of them takes requests, or if there is none.
+    [[nodiscard]] auto paused_for(base::time_point now) const -> base::duration;
     // Returns the best upstream outside of `tried`, or nothing if there is none. Ejected upstreams
     // and those in suspect data centres are used only if no other is left. `draw` from [0, 1)
     // breaks ties. If `required` is set, only upstreams of that software version are considered.
@@ -77,6 +89,7 @@
 
     data_centre_reachability* reachability;
     std::map<base::upstream_id, member> members;
+    upstream_pauses pauses;
     // The moving mean over all upstreams, for those that have not answered yet, in seconds.
     double overall_mean_seconds = 0;
 };
--- a/linnetlane/routing/pools_test.cpp
+++ b/linnetlane/routing/pools_test.cpp
@@ -154,6 +154,34 @@
     BOOST_TEST(pool.decode_candidates(4, 0.3, start).size() == 4U);
 }
 
+BOOST_AUTO_TEST_CASE(upstreams_that_asked_for_a_pause_are_left_alone_until_its_end) {
+    auto reachability = data_centre_reachability{};
+    auto engines = generation_pool{reachability};
+    engines.set_members(make_engines(1, 2));
+    auto plain = plain_pool{reachability};
+    plain.set_members({make_record("a", "dc", {}), make_record("b", "dc", {})});
+    auto const until = start + std::chrono::seconds{2};
+    engines.note_pause(base::upstream_id{"e1"}, until, start);
+    plain.note_pause(base::upstream_id{"a"}, until, start);
+    BOOST_TEST((engines.decode_candidates(3, 0.3, start) == std::vector{base::upstream_id{"e2"}}));
+    BOOST_TEST(plain.pick({}, 0.3, start)->value == "b");
+    BOOST_TEST((plain.paused_for(start) == base::duration::zero()));
+    // A record that is dropped and listed again is still the same process.
+    plain.set_members({});
+    plain.set_members({make_record("a", "dc", {}), make_record("b", "dc", {})});
+    plain.note_pause(base::upstream_id{"b"}, until + std::chrono::seconds{1}, start);
+    BOOST_TEST(!plain.pick({}, 0.3, start).has_value());
+    BOOST_TEST((plain.paused_for(start) == std::chrono::seconds{2}));
+    engines.note_pause(base::upstream_id{"e0"}, until, start);
+    BOOST_TEST(!engines.prefill_candidate({}, {}, 0.3, start).has_value());
+    BOOST_TEST((engines.paused_for(start) == std::chrono::seconds{2}));
+    // A restart ends the pause, and so does its time.
+    engines.forget(base::upstream_id{"e0"});
+    BOOST_TEST((engines.paused_for(start) == base::duration::zero()));
+    BOOST_TEST(plain.pick({}, 0.3, until)->value == "a");
+    BOOST_TEST(engines.decode_candidates(3, 0.3, until).size() == 2U);
+}
+
 BOOST_AUTO_TEST_CASE(an_engine_without_room_is_ranked_last_for_a_while) {
     auto reachability = data_centre_reachability{};
     auto pool = generation_pool{reachability};
--- /dev/null
+++ b/linnetlane/routing/upstream_pauses.h
@@ -0,0 +1,43 @@
+// The times until which upstreams have asked this host to send nothing.
+
+#ifndef LINNETLANE_ROUTING_UPSTREAM_PAUSES_H_
+#define LINNETLANE_ROUTING_UPSTREAM_PAUSES_H_
+
+#include <algorithm>
+#include <map>
+
+#include "linnetlane/base/ids.h"
+#include "linnetlane/base/time.h"
+
+namespace linnetlane::routing {
+
+// Not thread-safe; must be used on one worker only.
+class upstream_pauses {
+public:
+    // Records that an upstream asked for a pause until `until`. The latest end counts. Drops the
+    // pauses that have ended.
+    auto note(base::upstream_id const& id, base::time_point until, base::time_point now) -> void {
+        std::erase_if(this->ends, [&](auto const& entry) { return entry.second <= now; });
+        auto& known = this->ends.try_emplace(id, until).first->second;
+        known = std::max(known, until);
+    }
+    // Forgets the pause of an upstream that has restarted.
+    auto forget(base::upstream_id const& id) -> void { this->ends.erase(id); }
+    // Returns how much longer nothing may be sent to the upstream, at least 0.
+    [[nodiscard]] auto time_left(base::upstream_id const& id, base::time_point now) const
+        -> base::duration {
+        auto const found = this->ends.find(id);
+        return found == this->ends.end() || found->second <= now ? base::duration::zero()
+                                                                 : found->second - now;
+    }
+    [[nodiscard]] auto is_paused(base::upstream_id const& id, base::time_point now) const -> bool {
+        return this->time_left(id, now) > base::duration::zero();
+    }
+
+private:
+    std::map<base::upstream_id, base::time_point> ends;
+};
+
+}  // namespace linnetlane::routing
+
+#endif  // LINNETLANE_ROUTING_UPSTREAM_PAUSES_H_
--- a/linnetlane/routing/upstream_set.cpp
+++ b/linnetlane/routing/upstream_set.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace linnetlane::routing {
 
@@ -55,6 +56,7 @@
     if (auto const* const ended = this->superseded_by(record)) {
         auto const id = ended->id;
         this->drop_at.erase(id);
+        this->announced.erase(id);
         this->records.erase(id);
     }
     if (this->has_left(record)) {
@@ -78,13 +80,26 @@
         return record_change::none;
     }
     auto const restarted = known.started != record.started || !(known.address == record.address);
+    if (restarted) {
+        this->announced.erase(record.id);
+    }
     // Without a start, a later process can't be told from an earlier one.
-    auto const stays_leaving = known.leaving && !restarted && record.started.value != 0;
+    auto const same_process = record.started.value != 0 || this->announced.contains(record.id);
+    auto const stays_leaving = known.leaving && !restarted && same_process;
     known = record;
     known.leaving = known.leaving || stays_leaving;
     return restarted ? record_change::restarted : record_change::updated;
 }
 
+auto upstream_set::note_leaving(base::upstream_id const& id) -> bool {
+    auto const found = this->records.find(id);
+    if (found == this->records.end()) {
+        return false;
+    }
+    this->announced.insert(id);
+    return !std::exchange(found->second.leaving, true);
+}
+
 auto upstream_set::superseded_by(upstream_record const& record) const -> upstream_record const* {
     for (auto const& [id, other] : this->records) {
         if (id != record.id && other.address == record.address && other.started < record.started) {
@@ -107,6 +122,7 @@
         this->departed[id] = departure{found->second.started, now + departure_memory};
     }
     this->drop_at.erase(id);
+    this->announced.erase(id);
     this->records.erase(found);
     return true;
 }
@@ -118,6 +134,7 @@
         if (entry.second > now) {
             return false;
         }
+        this->announced.erase(entry.first);
         this->records.erase(entry.first);
         dropped.push_back(entry.first);
         return true;
--- a/linnetlane/routing/upstream_set.h
+++ b/linnetlane/routing/upstream_set.h
@@ -22,6 +22,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 #include "linnetlane/base/endpoint.h"
@@ -89,6 +90,9 @@
     // Adds or updates `record`, and drops the record that it supersedes. Ignores `record` if one
     // with another id has the same address and a later start.
     auto put(upstream_record const& record) -> record_change;
+    // Records that an upstream said itself that it leaves, before the registry shows it. Holds
+    // until the process restarts or its record is removed. Returns whether that is new.
+    auto note_leaving(base::upstream_id const& id) -> bool;
     // Returns whether the process of `record` was leaving when its record was dropped.
     [[nodiscard]] auto has_left(upstream_record const& record) const -> bool;
     // Returns a record with another id, the same address as `record` and an earlier start, or null.
@@ -111,6 +115,8 @@
 
 private:
     std::map<base::upstream_id, upstream_record> records;
+    // Upstreams that said themselves that they leave.
+    std::set<base::upstream_id> announced;
     // The times at which missing records are dropped.
     std::map<base::upstream_id, base::time_point> drop_at;
     struct departure {
--- a/linnetlane/routing/upstream_set_test.cpp
+++ b/linnetlane/routing/upstream_set_test.cpp
@@ -1,5 +1,7 @@
 #include "linnetlane/routing/upstream_set.h"
 
+#include <string>
+
 #include <boost/test/unit_test.hpp>
 
 namespace linnetlane::routing {
@@ -23,6 +25,28 @@
     BOOST_TEST(set.replace_all({}, start).size() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(an_upstream_that_said_that_it_leaves_stays_leaving_until_it_restarts) {
+    auto set = upstream_set{};
+    // Without a start, and with one.
+    for (auto const started : {std::uint64_t{0}, std::uint64_t{1000}}) {
+        auto record = make_record("a" + std::to_string(started));
+        record.started.value = started;
+        record.address.port = static_cast<std::uint16_t>(80 + started);
+        set.put(record);
+        BOOST_TEST(set.note_leaving(record.id));
+        BOOST_TEST(!set.note_leaving(record.id));
+        record.slots = 7;
+        set.put(record);
+        BOOST_TEST(set.find(record.id)->leaving);
+        auto restarted = record;
+        restarted.address.port = 9000;
+        set.put(restarted);
+        BOOST_TEST(!set.find(record.id)->leaving);
+        set.remove(record.id, start);
+    }
+    BOOST_TEST(!set.note_leaving(base::upstream_id{"unknown"}));
+}
+
 BOOST_AUTO_TEST_CASE(a_later_process_replaces_the_earlier_one_at_its_address) {
     auto crashed = make_record("crashed");
     crashed.started.value = 1000;
