--- a/linnetlane/router/stream_origin_recorder.h
+++ b/linnetlane/router/stream_origin_recorder.h
@@ -52,13 +52,13 @@
     auto find(caller_request const& request, base::service_id const& service)
         -> std::optional<base::software_version> {
         auto const& versions = this->host.view.service(service).versions;
-        auto const known = request.resumed_request
-                               ? this->host.view.origins.find(*request.resumed_request)
-                               : std::nullopt;
+        auto known = request.resumed_request
+                         ? this->host.view.origins.find(*request.resumed_request)
+                         : std::nullopt;
         if (known) {
             return known;
         }
-        if (auto const certain = versions.certain_version(base::monotonic_clock::now())) {
+        if (auto certain = versions.certain_version(base::monotonic_clock::now())) {
             return certain;
         }
         if (!request.resumed_request ||
@@ -74,7 +74,7 @@
         if (auto const& recorded = base::value_of(found)) {
             return recorded;
         }
-        auto const inferred = versions.version_without_record(base::monotonic_clock::now());
+        auto inferred = versions.version_without_record(base::monotonic_clock::now());
         this->log(request, inferred ? telemetry::literal{"no record, but one version only"}
                                     : telemetry::literal{"no record"});
         return inferred;
