Router: logs state which parts a prompt has whose upstream broke off before the answer

The logs couldn't tell whether the crashes have the prompts in common: no line named the parts of a prompt, or said that a stream broke off before its first event.

Now: a line and a counter for each upstream that breaks off a request before its answer began, with the parts that other requests may share.

--- a/linnetlane/base/ids.h
+++ b/linnetlane/base/ids.h
@@ -61,6 +61,8 @@
 using caller_request_id = basic_name<struct caller_request_tag>;
 // A key sent by the caller to make its request idempotent.
 using idempotency_key = basic_name<struct idempotency_key_tag>;
+// A part of a prompt that several requests may share, identified by its content.
+using prompt_part_id = basic_name<struct prompt_part_tag>;
 // A group of one service's upstreams in one data centre that share a keeper.
 using cell_id = basic_name<struct cell_tag>;
 
--- a/linnetlane/router/generation_forwarder.h
+++ b/linnetlane/router/generation_forwarder.h
@@ -444,6 +444,7 @@
         if (failure == exchange_failure_kind::timed_out) {
             return attempt_result::timed_out;
         }
+        this->context.note_upstream_ended(reserved.engine.id);
         return this->may_run_again() ? attempt_result::retry : attempt_result::outcome_unknown;
     }
 
@@ -501,6 +502,9 @@
                 break;
         }
         this->log_step(reserved.engine.id, "stream is incomplete");
+        if (!this->relay.answer_began()) {
+            this->context.note_upstream_ended(reserved.engine.id);
+        }
         return this->may_run_again() ? attempt_result::retry : attempt_result::interrupted;
     }
 
--- a/linnetlane/router/messages.h
+++ b/linnetlane/router/messages.h
@@ -42,6 +42,8 @@
     std::optional<base::caller_request_id> resumed_request;
     // Set for prompts that state their size.
     std::optional<routing::generation_size> size;
+    // The parts of the prompt that other requests may share, in order; empty if there are none.
+    std::vector<base::prompt_part_id> shared_parts;
     // The request to forward: method, target and body unchanged, with the fields to pass on.
     runtime::http_request forwarded;
 };
--- a/linnetlane/router/plain_forwarder.h
+++ b/linnetlane/router/plain_forwarder.h
@@ -154,6 +154,7 @@
         if (failure == exchange_failure_kind::timed_out) {
             return this->give_up(refusal_reason::timed_out);
         }
+        this->context.note_upstream_ended(target.id);
         return this->retry_or_give_up(refusal_reason::outcome_unknown);
     }
 
@@ -195,9 +196,11 @@
             }
             this->note(target, routing::exchange_outcome::transport_failure, sent_at, std::nullopt);
             this->log_attempt(target, "answer is incomplete");
-            return failed->kind == runtime::http_failure_kind::timed_out
-                       ? this->give_up(refusal_reason::timed_out)
-                       : this->retry_or_give_up(refusal_reason::outcome_unknown);
+            if (failed->kind == runtime::http_failure_kind::timed_out) {
+                return this->give_up(refusal_reason::timed_out);
+            }
+            this->context.note_upstream_ended(target.id);
+            return this->retry_or_give_up(refusal_reason::outcome_unknown);
         }
         auto const failed_there = opened.head.status >= 500;
         this->note(target,
@@ -230,6 +233,9 @@
         if (relayed == relay_outcome::caller_left) {
             return request_result{request_outcome::caller_left, this->relay.status()};
         }
+        if (relayed == relay_outcome::interrupted && !this->relay.answer_began()) {
+            this->context.note_upstream_ended(target.id);
+        }
         this->context.responder.abort();
         return request_result{request_outcome::cut_off, this->relay.status()};
     }
--- a/linnetlane/router/request_context.h
+++ b/linnetlane/router/request_context.h
@@ -80,6 +80,22 @@
         this->host.view.isolation.note_sent(to, now);
         this->state().isolation.note_sent(to, now);
     }
+    // Returns the shared parts of the prompt as one name, separated by commas, for the log.
+    [[nodiscard]] auto joined_parts() const -> base::prompt_part_id {
+        auto joined = base::prompt_part_id{};
+        for (auto const& part : this->caller.shared_parts) {
+            joined.value += (joined.value.empty() ? "" : ",") + part.value;
+        }
+        return joined;
+    }
+    // Records that an upstream broke off the request before the answer began.
+    auto note_upstream_ended(base::upstream_id const& upstream) const -> void {
+        this->host.metrics.count_upstream_ended();
+        this->host.log.write(telemetry::log_level::info,
+                             "upstream broke off before the answer began",
+                             {this->caller.id, this->service, upstream,
+                              telemetry::field::named("prompt_parts", this->joined_parts())});
+    }
     auto note_answer() const -> void {
         this->host.view.isolation.note_answer();
         this->state().isolation.note_answer();
--- a/linnetlane/router/router_metrics.cpp
+++ b/linnetlane/router/router_metrics.cpp
@@ -101,7 +101,10 @@
                              .Add({})},
       upstreams{&gauge(*this->registry, "linnetlane_upstreams", "Upstreams known.")},
       configuration{&gauge(*this->registry, "linnetlane_configuration_version",
-                           "The version of the configuration in force.")} {}
+                           "The version of the configuration in force.")},
+      upstreams_ended{&counters(*this->registry, "linnetlane_upstreams_ended_total",
+                                "Requests that an upstream broke off before the answer began.")
+                           .Add({})} {}
 
 auto router_metrics::count_request(request_kind kind, request_outcome outcome, base::duration took)
     -> void {
@@ -150,6 +153,10 @@
     this->configuration->Set(static_cast<double>(version.value));
 }
 
+auto router_metrics::count_upstream_ended() -> void {
+    this->upstreams_ended->Increment();
+}
+
 auto router_metrics::scrape() const -> std::string {
     return prometheus::TextSerializer{}.Serialize(this->registry->Collect());
 }
--- a/linnetlane/router/router_metrics.h
+++ b/linnetlane/router/router_metrics.h
@@ -49,6 +49,8 @@
     auto count_registry_failure() -> void;
     auto set_upstreams(std::size_t count) -> void;
     auto set_configuration(routing::configuration_version version) -> void;
+    // Counts an upstream that broke off a request before its answer began.
+    auto count_upstream_ended() -> void;
 
     // Returns all metrics in the Prometheus text format.
     [[nodiscard]] auto scrape() const -> std::string;
@@ -67,6 +69,7 @@
     prometheus::Counter* registry_failures;
     prometheus::Gauge* upstreams;
     prometheus::Gauge* configuration;
+    prometheus::Counter* upstreams_ended;
 };
 
 }  // namespace linnetlane::router
--- a/linnetlane/router/stream_relay.h
+++ b/linnetlane/router/stream_relay.h
@@ -5,6 +5,7 @@
 #define LINNETLANE_ROUTER_STREAM_RELAY_H_
 
 #include <optional>
+#include <string_view>
 
 #include "linnetlane/router/event_framing.h"
 #include "linnetlane/router/messages.h"
@@ -20,6 +21,7 @@
 
     // Forwards the stream of `from` until it ends. Call again to continue with another upstream.
     auto run(opened_answer& from) -> relay_outcome {
+        this->event_arrived = false;
         if (!this->begun && !this->begin(from)) {
             return relay_outcome::caller_left;
         }
@@ -40,6 +42,9 @@
         }
     }
 
+    // Returns whether the last `run` received a complete event.
+    [[nodiscard]] auto answer_began() const -> bool { return this->event_arrived; }
+
     // Returns whether an answer to the caller has been started.
     [[nodiscard]] auto started() const -> bool { return this->begun; }
     // Returns the status that was sent to the caller, or 0.
@@ -65,14 +70,14 @@
         if (!this->first_bytes) {
             this->first_bytes = base::monotonic_clock::now();
         }
-        if (!this->context.route.resumable) {
-            return this->context.responder.write(bytes);
-        }
-        return this->context.responder.write(this->framing.take(bytes));
+        auto const events = this->framing.take(bytes);
+        this->event_arrived = this->event_arrived || !events.empty();
+        return this->context.responder.write(this->context.route.resumable ? events : bytes);
     }
 
     auto finish() -> relay_outcome {
-        auto const rest_sent = this->context.responder.write(this->framing.incomplete());
+        auto const rest = this->context.route.resumable ? this->framing.incomplete() : "";
+        auto const rest_sent = this->context.responder.write(rest);
         return rest_sent && this->context.responder.finish() ? relay_outcome::complete
                                                              : relay_outcome::caller_left;
     }
@@ -88,6 +93,7 @@
     request_context const& context;
     event_framing framing;
     bool begun = false;
+    bool event_arrived = false;
     int forwarded_status = 0;
     std::optional<base::time_point> first_bytes;
 };
