Router: hosts share which prompts crash engines, and keep such prompts away from all

Cause: what crashes engines is seen by no host alone. With seven hosts each had one to four crashes, ejected the engine, and placed the next such prompt like any other. The class of fault: evidence that exists only in the fleet as a whole.

Change: fact_board holds observations with an age; the newest one holds, a board counts its changes, and hosts exchange only these: a follower with its questions, a followed host with its answers (at once if something is new), and hosts that read the registry with each other (fact_publisher). Nothing is sent while there are no facts. At most 256 facts of a kind; they expire by themselves. Hosts of older versions ignore the fields. prompt_quarantine decides from the facts alone, so that all hosts come to the same verdict: three crashes before any event of the answer, at different moments, under a part that was never answered; five if it was; crashes that one part explains don't count against others. Requests with a quarantined part are refused as not run before anything is reserved, also between prefill and decode, on retries, resumed and forwarded requests; the caller is told the end. A request whose answer two upstreams broke off before its first event isn't tried at a third.

--- a/linnetlane/protocol/router.thrift
+++ b/linnetlane/protocol/router.thrift
@@ -1,5 +1,6 @@
-// Messages between hosts: changes of the registry, which one host of a data centre reads for all, and
-// requests that another host forwards because the sender reaches no upstream.
+// Messages between hosts: changes of the registry, which one host of a data centre reads for all,
+// facts that hosts learn from upstreams, and requests that another host forwards because the sender
+// reaches no upstream.
 //
 // The body of each HTTP request and response is one of these structs in Thrift's compact protocol.
 // Durations are in microseconds. Fields are only added, with new numbers, so that hosts of different
@@ -83,6 +84,29 @@
     4: i64 capacity,
 }
 
+// An observation of a host that others can't make. The newest one holds.
+struct fact {
+    // As `routing::fact_kind`; unknown kinds are ignored.
+    1: i32 kind,
+    2: string subject,
+    3: optional string witness,
+    4: double amount,
+    // The time since the observation.
+    5: i64 age,
+}
+
+// How many changes of a process's facts are known.
+struct fact_mark {
+    // Drawn by each process, since it counts its changes from 0.
+    1: i64 process,
+    2: i64 position,
+}
+
+// Facts that one host tells another.
+struct fact_report {
+    1: list<fact> facts,
+}
+
 // Requests the changes after a position in the registry.
 struct changes_question {
     1: i64 after,
@@ -93,6 +117,10 @@
     // Requests all upstreams; the position is ignored.
     4: optional bool complete,
     5: optional host sender,
+    // What the sender has learned since its last question.
+    6: optional list<fact> facts,
+    // The receiver's facts that the sender knows. Requests the later ones.
+    7: optional fact_mark known_facts,
 }
 
 enum outcome {
@@ -121,6 +149,9 @@
     // How much longer removed upstreams are kept, since they may register again after an outage of
     // the registry.
     9: optional i64 grace_left,
+    // The facts after those that the requester knows, up to `facts_at`.
+    10: optional list<fact> facts,
+    11: optional fact_mark facts_at,
 }
 
 struct header_field {
--- /dev/null
+++ b/linnetlane/router/fact_publisher.h
@@ -0,0 +1,110 @@
+// Tells the other hosts that read the registry what this host has learned. Each of them passes it
+// on to its followers.
+//
+// Sends what changed since the last report, and from time to time everything, for hosts that
+// started since or missed a report. Sends nothing while there are no facts.
+
+#ifndef LINNETLANE_ROUTER_FACT_PUBLISHER_H_
+#define LINNETLANE_ROUTER_FACT_PUBLISHER_H_
+
+#include <chrono>
+#include <map>
+#include <utility>
+
+#include "linnetlane/router/peer_codec.h"
+#include "linnetlane/router/request_context.h"
+
+namespace linnetlane::router {
+
+// Not thread-safe; must be used on one worker only. `run` occupies one fiber.
+class fact_publisher {
+public:
+    static constexpr auto interval = std::chrono::milliseconds{200};
+    static constexpr auto full_interval = std::chrono::seconds{2};
+    static constexpr auto report_timeout = std::chrono::milliseconds{500};
+    // How long a host that didn't accept a report, such as one of an older version, is left alone.
+    static constexpr auto declined_pause = std::chrono::seconds{20};
+
+    explicit fact_publisher(host_context const& own_host) : host{own_host} {}
+
+    // Never returns.
+    [[noreturn]] auto run() -> void {
+        for (;;) {
+            runtime::sleep_until(base::monotonic_clock::now() + interval);
+            auto const now = base::monotonic_clock::now();
+            this->log_quarantines(now);
+            if (this->host.view.reads_registry && !this->host.view.facts.empty()) {
+                this->publish(now);
+            }
+        }
+    }
+
+private:
+    auto publish(base::time_point now) -> void {
+        auto const& board = this->host.view.facts;
+        auto const full = now >= this->next_full;
+        if (full) {
+            this->next_full = now + full_interval;
+        }
+        auto const facts =
+            board.changed_since(full ? routing::fact_position{} : this->published, now);
+        this->published = board.position();
+        if (facts.empty()) {
+            return;
+        }
+        std::erase_if(this->declined_until, [&](auto const& each) { return each.second <= now; });
+        auto const report = make_fact_report(with_ages(facts, now));
+        for (auto const& reader : this->host.view.other_readers) {
+            if (!this->declined_until.contains(reader.host)) {
+                this->host.pool.spawn([this, report, reader] { this->send(report, reader); });
+            }
+        }
+    }
+
+    auto send(runtime::http_request const& report, host_entry const& reader) -> void {
+        auto const sent = runtime::fetch(*reader.peers, report, runtime::connection_use::pooled,
+                                         base::monotonic_clock::now() + report_timeout);
+        auto const* const response = std::get_if<runtime::http_response>(&sent);
+        // A host that can't be reached gets the facts with a later report.
+        if (response != nullptr && response->status != 200) {
+            this->declined_until[reader.host] = base::monotonic_clock::now() + declined_pause;
+            this->host.log.write(telemetry::log_level::info, "host didn't accept facts",
+                                 {telemetry::field::peer(reader.host),
+                                  {"status", static_cast<std::int64_t>(response->status)}});
+        }
+    }
+
+    // Logs the parts of prompts whose quarantine began or ended.
+    auto log_quarantines(base::time_point now) -> void {
+        auto current = this->host.view.quarantine.quarantined(now);
+        for (auto const& [part, since] : current) {
+            if (!this->quarantined.contains(part)) {
+                this->host.log.write(
+                    telemetry::log_level::warning,
+                    "prompt part quarantined: upstreams end under it",
+                    {telemetry::field::named("part", part), {"decided_ago", now - since}});
+            }
+        }
+        for (auto const& [part, since] : this->quarantined) {
+            if (!current.contains(part)) {
+                this->host.log.write(
+                    telemetry::log_level::warning, "quarantine of a prompt part ended",
+                    {telemetry::field::named("part", part), {"lasted", now - since}});
+            }
+        }
+        if (current.size() != this->quarantined.size()) {
+            this->host.metrics.set_quarantined(current.size());
+        }
+        this->quarantined = std::move(current);
+    }
+
+    host_context const& host;
+    routing::fact_position published;
+    base::time_point next_full = base::time_point::min();
+    std::map<base::host_id, base::time_point> declined_until;
+    std::map<base::prompt_part_id, base::time_point> quarantined;
+};
+
+}  // namespace linnetlane::router
+
+#endif  // LINNETLANE_ROUTER_FACT_PUBLISHER_H_
--- a/linnetlane/router/generation_forwarder.h
+++ b/linnetlane/router/generation_forwarder.h
@@ -60,6 +60,7 @@
         caller_left,
         timed_out,
         no_capacity,
+        quarantined,
         unreachable,
         outcome_unknown,
         interrupted,
@@ -80,6 +81,9 @@
         if (base::monotonic_clock::now() >= this->context.answer_by) {
             return attempt_result::timed_out;
         }
+        if (this->context.quarantined_for(base::monotonic_clock::now())) {
+            return attempt_result::quarantined;
+        }
         if (!this->prefill_is_timely({})) {
             this->log_step({}, "prefill queues are too long");
             return attempt_result::no_capacity;
@@ -401,6 +405,11 @@
             this->discard(source);
             return attempt_result::retry;
         }
+        if (this->context.quarantined_for(now)) {
+            this->release(reserved);
+            this->discard(source);
+            return attempt_result::quarantined;
+        }
         if (this->decodes++ > 0 && !this->may_decode_again(now)) {
             this->release(reserved);
             this->discard(source);
@@ -444,7 +453,7 @@
         if (failure == exchange_failure_kind::timed_out) {
             return attempt_result::timed_out;
         }
-        this->context.note_upstream_ended(reserved.engine.id);
+        this->note_upstream_ended(reserved.engine.id);
         return this->may_run_again() ? attempt_result::retry : attempt_result::outcome_unknown;
     }
 
@@ -503,7 +512,7 @@
         }
         this->log_step(reserved.engine.id, "stream is incomplete");
         if (!this->relay.answer_began()) {
-            this->context.note_upstream_ended(reserved.engine.id);
+            this->note_upstream_ended(reserved.engine.id);
         }
         return this->may_run_again() ? attempt_result::retry : attempt_result::interrupted;
     }
@@ -520,9 +529,15 @@
         return sent ? attempt_result::forwarded : attempt_result::caller_left;
     }
 
+    auto note_upstream_ended(base::upstream_id const& engine) -> void {
+        ++this->ends_before_answer;
+        this->context.note_upstream_ended(engine);
+    }
+
     [[nodiscard]] auto may_run_again() const -> bool {
         return this->context.route.semantics == routing::execution_semantics::idempotent &&
-               this->runs < this->context.route.max_attempts;
+               this->runs < this->context.route.max_attempts &&
+               this->context.may_outlive(this->ends_before_answer);
     }
 
     // ---- End of the request ----
@@ -552,6 +567,8 @@
                 return this->refuse_or_cut(refusal_reason::timed_out);
             case attempt_result::no_capacity:
                 return this->refuse_or_cut(refusal_reason::overloaded);
+            case attempt_result::quarantined:
+                return this->refuse_or_cut(refusal_reason::prompt_quarantined);
             case attempt_result::unreachable:
             case attempt_result::retry:
                 if (this->may_be_sent_by_peer()) {
@@ -578,6 +595,9 @@
             reason != refusal_reason::timed_out && reason != refusal_reason::outcome_unknown;
         if (claims_not_run && this->may_have_run) {
             refused.reason = refusal_reason::outcome_unknown;
+        } else if (reason == refusal_reason::prompt_quarantined) {
+            refused = quarantine_refusal(this->context.quarantined_for(base::monotonic_clock::now())
+                                             .value_or(base::duration::zero()));
         } else if (claims_not_run) {
             auto const paused =
                 this->context.state().generation.paused_for(base::monotonic_clock::now());
@@ -638,6 +658,8 @@
     std::size_t decodes = 0;
     // Decodes that the engine ran or may have run.
     std::size_t runs = 0;
+    // Decodes that the engine broke off before the first event.
+    std::size_t ends_before_answer = 0;
     bool may_have_run = false;
     // The last step failed because the engine could not be reached.
     bool reached_none = false;
--- a/linnetlane/router/host.h
+++ b/linnetlane/router/host.h
@@ -14,6 +14,7 @@
 #include <optional>
 #include <utility>
 
+#include "linnetlane/router/fact_publisher.h"
 #include "linnetlane/router/generation_forwarder.h"
 #include "linnetlane/router/host_membership.h"
 #include "linnetlane/router/isolation_watch.h"
@@ -55,6 +56,7 @@
                     [this](auto const& offered) { this->configurations.offer(offered); }},
           membership{this->registry, this->host},
           recorder{this->registry, this->host},
+          publisher{this->host},
           isolation{this->registry, this->host} {}
 
     // Binds the addresses and starts the fibers. Throws `boost::system::system_error` if an address
@@ -81,6 +83,7 @@
         this->host.pool.spawn([this] { this->upstreams.sweep(); });
         this->host.pool.spawn([this] { this->membership.run(); });
         this->host.pool.spawn([this] { this->recorder.run(); });
+        this->host.pool.spawn([this] { this->publisher.run(); });
         this->log.write(
             telemetry::log_level::info, "started",
             {this->settings.listen.callers, telemetry::field::named("host", this->settings.host)});
@@ -149,6 +152,8 @@
         -> void {
         if (request.target == forward_target) {
             this->serve_forwarded(request, responder);
+        } else if (request.target == facts_target) {
+            this->receive_facts(request, responder);
         } else {
             this->serve_follower(request, responder);
         }
@@ -169,6 +174,21 @@
         this->serve(caller, responder, true);
     }
 
+    auto receive_facts(runtime::http_request const& request, runtime::http_responder& responder)
+        -> void {
+        auto const facts = decode_fact_report(request.body);
+        auto response = runtime::http_response{};
+        if (!facts) {
+            this->log.write(telemetry::log_level::warning, "malformed facts from a host", {});
+            response.status = 400;
+        } else {
+            auto const now = base::monotonic_clock::now();
+            this->view.learn(without_ages(*facts, now), now);
+        }
+        // If the peer has disconnected, it tells the facts again.
+        static_cast<void>(responder.send(response));
+    }
+
     // Answers a host of the same data centre that asks for changes of the registry.
     auto serve_follower(runtime::http_request const& request, runtime::http_responder& responder)
         -> void {
@@ -188,6 +208,7 @@
     auto answer_follower(changes_question const& question) -> changes_answer {
         auto const asked_at = base::monotonic_clock::now();
         this->view.feed.note_follower(question.sender, asked_at);
+        this->view.learn(without_ages(question.facts, asked_at), asked_at);
         auto answer = this->view.feed.await(question, asked_at + question.wait);
         auto const now = base::monotonic_clock::now();
         auto relays = this->view.relays.order_for_followers(now);
@@ -209,6 +230,14 @@
             update.upstreams.put = this->view.upstreams.registered();
         }
         update.grace_left = this->view.upstreams.grace_left(now);
+        if (question.known_facts) {
+            auto const same_process =
+                question.known_facts->process == this->view.facts_mark().process;
+            auto const known =
+                same_process ? question.known_facts->position : routing::fact_position{};
+            update.facts = with_ages(this->view.facts.changed_since(known, now), now);
+            update.facts_at = this->view.facts_mark();
+        }
         update.hosts = this->view.known_hosts();
         update.relays = std::move(relays);
         return update;
@@ -264,6 +293,12 @@
             context.state().retries.note_request(context.arrived);
         }
         auto const generates = context.route.generates && context.caller.size.has_value();
+        if (auto const left = context.quarantined_for(context.arrived)) {
+            auto const end = refuse<Wire>(context, quarantine_refusal(*left));
+            this->note_end(context, generates ? request_kind::generation : request_kind::plain,
+                           end);
+            return;
+        }
         auto end = this->isolation.is_isolated(context)
                        ? unsent_request()
                        : this->forward_to_upstream(context, generates);
@@ -353,6 +388,8 @@
                 return "failed: timed out";
             case refusal_reason::unknown_origin:
                 return "refused: origin of the stream is unknown";
+            case refusal_reason::prompt_quarantined:
+                return "refused: upstreams end under a part of the prompt";
             case refusal_reason::leaving:
                 break;
         }
@@ -394,6 +431,7 @@
     upstream_follower<Registry> upstreams;
     host_membership<Registry, Wire> membership;
     stream_origin_recorder<Registry> recorder;
+    fact_publisher publisher;
     isolation_watch<Registry, Wire> isolation;
     std::optional<runtime::http_server> callers;
     std::optional<runtime::http_server> operators;
--- a/linnetlane/router/host_membership.h
+++ b/linnetlane/router/host_membership.h
@@ -169,6 +169,12 @@
         auto const now = base::monotonic_clock::now();
         auto const followers = view.feed.followers(now);
         this->publish_followers(followers.size());
+        view.other_readers.clear();
+        for (auto const& each : listed.hosts) {
+            if (each.entry.peers && each.entry.host != this->host.settings.host) {
+                view.other_readers.push_back(each.entry);
+            }
+        }
         if (view.reads_registry) {
             auto registered = hosts_of(listed, view.relays.own_entry());
             // The list may be older than this host's entry.
--- a/linnetlane/router/messages.h
+++ b/linnetlane/router/messages.h
@@ -63,6 +63,8 @@
     timed_out,
     // The request resumes a stream, and it isn't known which software version began it.
     unknown_origin,
+    // The prompt has a part under which upstreams end.
+    prompt_quarantined,
     // The host is shutting down.
     leaving,
 };
--- a/linnetlane/router/peer_codec.cpp
+++ b/linnetlane/router/peer_codec.cpp
@@ -1,6 +1,7 @@
 #include "linnetlane/router/peer_codec.h"
 
 #include <algorithm>
+#include <cmath>
 #include <cstdint>
 #include <limits>
 #include <memory>
@@ -131,6 +132,29 @@
     return out;
 }
 
+auto to_wire(std::vector<aged_fact> const& facts) -> std::vector<peer_wire::fact> {
+    auto out = std::vector<peer_wire::fact>{};
+    for (auto const& fact : facts) {
+        auto one = peer_wire::fact{};
+        one.__set_kind(static_cast<std::int32_t>(fact.key.kind));
+        one.__set_subject(fact.key.subject);
+        if (!fact.key.witness.empty()) {
+            one.__set_witness(fact.key.witness);
+        }
+        one.__set_amount(fact.value);
+        one.__set_age(microseconds_of(fact.age));
+        out.push_back(std::move(one));
+    }
+    return out;
+}
+
+auto to_wire(fact_mark const& mark) -> peer_wire::fact_mark {
+    auto out = peer_wire::fact_mark{};
+    out.__set_process(static_cast<std::int64_t>(mark.process));
+    out.__set_position(static_cast<std::int64_t>(mark.position.value));
+    return out;
+}
+
 auto to_wire(changes_answer const& answer) -> peer_wire::changes_answer {
     auto out = peer_wire::changes_answer{};
     if (auto const* const failure = base::failure_of(answer)) {
@@ -161,6 +185,12 @@
         relays.push_back(to_wire(host));
     }
     out.__set_relays(relays);
+    if (!update.facts.empty()) {
+        out.__set_facts(to_wire(update.facts));
+    }
+    if (update.facts_at) {
+        out.__set_facts_at(to_wire(*update.facts_at));
+    }
     return out;
 }
 
@@ -210,6 +240,29 @@
         std::clamp<std::int64_t>(microseconds, 0, std::chrono::microseconds{max_span}.count())};
 }
 
+// Facts of unknown kinds are left out; hosts of later versions may send them.
+auto from_wire(std::vector<peer_wire::fact>&& in) -> std::vector<aged_fact> {
+    auto facts = std::vector<aged_fact>{};
+    for (auto& each : in) {
+        auto const known =
+            each.kind >= static_cast<std::int32_t>(routing::fact_kind::prompt_crash) &&
+            each.kind <= static_cast<std::int32_t>(routing::fact_kind::upstream_limit);
+        if (!known || each.subject.empty() || !std::isfinite(each.amount)) {
+            continue;
+        }
+        facts.push_back({{static_cast<routing::fact_kind>(each.kind), std::move(each.subject),
+                          std::move(each.witness)},
+                         each.amount,
+                         span(each.age)});
+    }
+    return facts;
+}
+
+auto from_wire(peer_wire::fact_mark const& in) -> fact_mark {
+    return fact_mark{static_cast<std::uint64_t>(in.process),
+                     routing::fact_position{static_cast<std::uint64_t>(in.position)}};
+}
+
 auto from_wire(peer_wire::route&& in) -> routing::route {
     auto route = routing::route{};
     route.name.value = std::move(in.name);
@@ -266,6 +319,25 @@
 
 }  // namespace
 
+auto with_ages(std::vector<routing::shared_fact> const& facts, base::time_point now)
+    -> std::vector<aged_fact> {
+    auto aged = std::vector<aged_fact>{};
+    for (auto const& fact : facts) {
+        aged.push_back(
+            {fact.key, fact.value, std::max(now - fact.observed_at, base::duration::zero())});
+    }
+    return aged;
+}
+
+auto without_ages(std::vector<aged_fact> const& facts, base::time_point now)
+    -> std::vector<routing::shared_fact> {
+    auto placed = std::vector<routing::shared_fact>{};
+    for (auto const& fact : facts) {
+        placed.push_back({fact.key, fact.value, now - fact.age});
+    }
+    return placed;
+}
+
 auto make_changes_request(changes_question const& question) -> runtime::http_request {
     return runtime::http_request{"POST", std::string{changes_target}, {}, encode(question)};
 }
@@ -287,6 +359,18 @@
         "POST", std::string{forward_target}, {}, protocol::write_compact(out)};
 }
 
+auto make_fact_report(std::vector<aged_fact> const& facts) -> runtime::http_request {
+    auto out = peer_wire::fact_report{};
+    out.__set_facts(to_wire(facts));
+    return runtime::http_request{
+        "POST", std::string{facts_target}, {}, protocol::write_compact(out)};
+}
+
+auto decode_fact_report(std::string_view text) -> std::optional<std::vector<aged_fact>> {
+    auto in = read<peer_wire::fact_report>(text);
+    return in ? std::optional{from_wire(std::move(in->facts))} : std::nullopt;
+}
+
 auto decode_forwarded(std::string_view text) -> std::optional<forwarded_request> {
     auto in = read<peer_wire::forwarded_request>(text, request_bounds);
     if (!in || in->method.empty() || in->target.empty() || in->time_left < 0) {
@@ -321,6 +405,12 @@
     if (question.sender) {
         out.__set_sender(to_wire(*question.sender));
     }
+    if (!question.facts.empty()) {
+        out.__set_facts(to_wire(question.facts));
+    }
+    if (question.known_facts) {
+        out.__set_known_facts(to_wire(*question.known_facts));
+    }
     return protocol::write_compact(out);
 }
 
@@ -342,6 +432,10 @@
     if (in->__isset.sender) {
         question.sender = from_wire(std::move(in->sender));
     }
+    question.facts = from_wire(std::move(in->facts));
+    if (in->__isset.known_facts) {
+        question.known_facts = from_wire(in->known_facts);
+    }
     return question;
 }
 
@@ -382,6 +476,10 @@
             update.relays.push_back(std::move(*entry));
         }
     }
+    update.facts = from_wire(std::move(in->facts));
+    if (in->__isset.facts_at) {
+        update.facts_at = from_wire(in->facts_at);
+    }
     return update;
 }
 
--- a/linnetlane/router/peer_codec.h
+++ b/linnetlane/router/peer_codec.h
@@ -4,6 +4,7 @@
 #define LINNETLANE_ROUTER_PEER_CODEC_H_
 
 #include <cstddef>
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
@@ -13,9 +14,33 @@
 #include "linnetlane/base/result.h"
 #include "linnetlane/base/time.h"
 #include "linnetlane/router/messages.h"
+#include "linnetlane/routing/fact_board.h"
 
 namespace linnetlane::router {
 
+// A fact in a message, with the time since its observation.
+struct aged_fact {
+    routing::fact_key key;
+    double value = 0;
+    base::duration age{};
+
+    friend auto operator==(aged_fact const&, aged_fact const&) -> bool = default;
+};
+
+[[nodiscard]] auto with_ages(std::vector<routing::shared_fact> const& facts, base::time_point now)
+    -> std::vector<aged_fact>;
+[[nodiscard]] auto without_ages(std::vector<aged_fact> const& facts, base::time_point now)
+    -> std::vector<routing::shared_fact>;
+
+// How many changes of the facts of a process are known to another one.
+struct fact_mark {
+    // Drawn by each process, since it counts its changes from 0.
+    std::uint64_t process = 0;
+    routing::fact_position position;
+
+    friend auto operator==(fact_mark const&, fact_mark const&) -> bool = default;
+};
+
 // A request to a host that reads the registry, for the changes after a position.
 struct changes_question {
     registry_position after;
@@ -27,6 +52,11 @@
     bool complete = false;
     // The requesting host, which may become one to follow. Older hosts don't state it.
     std::optional<host_entry> sender = std::nullopt;
+    // What the requesting host has learned since its last question.
+    std::vector<aged_fact> facts = {};
+    // The facts of the asked host that the requesting host knows. Older hosts don't state it and
+    // don't exchange facts.
+    std::optional<fact_mark> known_facts = std::nullopt;
 };
 
 // The changes since the position in a request.
@@ -46,6 +76,10 @@
     // The answering host doesn't read the registry but follows one of `relays`; there are no
     // changes.
     bool redirected = false;
+    // The facts after those that the requesting host knows, up to `facts_at`. Older hosts don't
+    // exchange facts.
+    std::vector<aged_fact> facts = {};
+    std::optional<fact_mark> facts_at = std::nullopt;
 };
 
 using changes_answer = base::result<registry_update, registry_failure>;
@@ -61,10 +95,15 @@
 // The targets of requests between hosts.
 inline constexpr auto changes_target = std::string_view{"/upstream-changes"};
 inline constexpr auto forward_target = std::string_view{"/forwarded-requests"};
+inline constexpr auto facts_target = std::string_view{"/facts"};
 
 [[nodiscard]] auto make_changes_request(changes_question const& question) -> runtime::http_request;
 [[nodiscard]] auto make_forward_request(runtime::http_request const& request,
                                         base::duration time_left) -> runtime::http_request;
+[[nodiscard]] auto make_fact_report(std::vector<aged_fact> const& facts) -> runtime::http_request;
+// Returns nothing if `text` is malformed.
+[[nodiscard]] auto decode_fact_report(std::string_view text)
+    -> std::optional<std::vector<aged_fact>>;
 // Returns nothing if `text` is malformed.
 [[nodiscard]] auto decode_forwarded(std::string_view text) -> std::optional<forwarded_request>;
 // Marks an answer as stating that the host didn't take the request, so that another may.
--- a/linnetlane/router/peers_test.cpp
+++ b/linnetlane/router/peers_test.cpp
@@ -96,6 +96,21 @@
     return made;
 }
 
+auto any_facts() -> std::vector<aged_fact> {
+    auto facts = std::vector<aged_fact>{};
+    auto const count = *rc::gen::inRange(0, 4);
+    for (auto index = 0; index < count; ++index) {
+        facts.push_back(
+            {{*rc::gen::element(
+                  routing::fact_kind::prompt_crash, routing::fact_kind::prompt_answered,
+                  routing::fact_kind::prompt_quarantined, routing::fact_kind::upstream_limit),
+              "s" + std::to_string(index), *rc::gen::element<std::string>("", "u1#2")},
+             *rc::gen::inRange(-10, 100) / 10.0,
+             any_span()});
+    }
+    return facts;
+}
+
 // A host of the data centre "a"; messages between its hosts don't name the data centre.
 auto relay(std::string name, std::uint64_t capacity) -> host_entry {
     return host_entry{
@@ -128,6 +143,8 @@
         update.grace_left = any_span();
         update.hosts = *rc::gen::inRange<std::size_t>(0, 1000);
         update.relays = {relay("h1", 120), relay("h2", 500)};
+        update.facts = any_facts();
+        update.facts_at = fact_mark{*rc::gen::inRange<std::uint64_t>(1, 1000), {7}};
         auto const back = decode_answer(encode(changes_answer{update}));
         RC_ASSERT(base::succeeded(back));
         auto const& upstreams = base::value_of(back).upstreams;
@@ -139,6 +156,18 @@
         RC_ASSERT(base::value_of(back).grace_left == update.grace_left);
         RC_ASSERT(base::value_of(back).hosts == update.hosts);
         RC_ASSERT(base::value_of(back).relays == update.relays);
+        RC_ASSERT(base::value_of(back).facts == update.facts);
+        RC_ASSERT(base::value_of(back).facts_at == update.facts_at);
+        auto asked = changes_question{{7}, {}, {}};
+        asked.facts = any_facts();
+        asked.known_facts = update.facts_at;
+        auto const question = decode_question(encode(asked));
+        RC_ASSERT(question.has_value());
+        RC_ASSERT(question->facts == asked.facts);
+        RC_ASSERT(question->known_facts == asked.known_facts);
+        auto const report = make_fact_report(asked.facts);
+        RC_ASSERT(report.target == facts_target);
+        RC_ASSERT(decode_fact_report(report.body) == asked.facts);
     }));
     for (auto const failure : {registry_failure::unavailable, registry_failure::history_lost}) {
         auto const back = decode_answer(encode(changes_answer{failure}));
@@ -160,6 +189,7 @@
     BOOST_TEST(question->configuration.value == 4U);
     BOOST_TEST(!question->complete);
     BOOST_TEST(!question->sender.has_value());
+    BOOST_TEST(!question->known_facts.has_value());
     auto asked = changes_question{registry_position{7}, std::chrono::seconds{1}, {4}};
     asked.complete = true;
     asked.sender = relay("h3", 250);
@@ -193,9 +223,31 @@
         // Arbitrary bytes must not crash the process.
         static_cast<void>(decode_answer(*rc::gen::arbitrary<std::string>()));
         static_cast<void>(decode_question(*rc::gen::arbitrary<std::string>()));
+        static_cast<void>(decode_fact_report(*rc::gen::arbitrary<std::string>()));
     }));
 }
 
+BOOST_AUTO_TEST_CASE(a_follower_is_answered_at_once_while_it_lacks_facts) {
+    auto feed = registry_feed{};
+    feed.set_reads_configuration(true);
+    feed.restart(registry_position{10});
+    feed.extend_validity(base::time_point::max());
+    feed.set_facts({5, {3}});
+    auto const answered_at_once = [&](std::optional<fact_mark> const& known) {
+        auto question = ask_after({10});
+        question.known_facts = known;
+        auto const began = base::monotonic_clock::now();
+        static_cast<void>(feed.await(question, began + std::chrono::milliseconds{50}));
+        return base::monotonic_clock::now() < began + std::chrono::milliseconds{50};
+    };
+    BOOST_TEST(answered_at_once(fact_mark{5, {2}}));
+    // The position is that of an earlier process.
+    BOOST_TEST(answered_at_once(fact_mark{4, {3}}));
+    BOOST_TEST(!answered_at_once(fact_mark{5, {3}}));
+    // Hosts of older versions don't exchange facts.
+    BOOST_TEST(!answered_at_once(std::nullopt));
+}
+
 BOOST_AUTO_TEST_CASE(a_following_host_has_the_same_upstreams) {
     BOOST_TEST(rc::check([] {
         auto feed = registry_feed{};
--- a/linnetlane/router/plain_forwarder.h
+++ b/linnetlane/router/plain_forwarder.h
@@ -45,6 +45,9 @@
             if (now >= this->context.answer_by) {
                 return this->give_up(refusal_reason::timed_out);
             }
+            if (auto const left = this->context.quarantined_for(now)) {
+                return this->give_up(refusal_reason::prompt_quarantined);
+            }
             auto const target = this->is_isolated(now) ? std::nullopt : this->next_target(now);
             if (!target) {
                 return this->sent_nothing() ? unsent_request() : this->give_up(this->last_reason);
@@ -154,10 +157,15 @@
         if (failure == exchange_failure_kind::timed_out) {
             return this->give_up(refusal_reason::timed_out);
         }
-        this->context.note_upstream_ended(target.id);
+        this->note_upstream_ended(target);
         return this->retry_or_give_up(refusal_reason::outcome_unknown);
     }
 
+    auto note_upstream_ended(routing::upstream_record const& target) -> void {
+        ++this->ends_before_answer;
+        this->context.note_upstream_ended(target.id);
+    }
+
     auto after_head(routing::upstream_record const& target, opened_answer& opened,
                     base::time_point sent_at) -> std::optional<request_result> {
         auto const& head = opened.head;
@@ -199,9 +207,10 @@
             if (failed->kind == runtime::http_failure_kind::timed_out) {
                 return this->give_up(refusal_reason::timed_out);
             }
-            this->context.note_upstream_ended(target.id);
+            this->note_upstream_ended(target);
             return this->retry_or_give_up(refusal_reason::outcome_unknown);
         }
+        this->context.note_answer_began();
         auto const failed_there = opened.head.status >= 500;
         this->note(target,
                    failed_there ? routing::exchange_outcome::failed_answer
@@ -234,7 +243,7 @@
             return request_result{request_outcome::caller_left, this->relay.status()};
         }
         if (relayed == relay_outcome::interrupted && !this->relay.answer_began()) {
-            this->context.note_upstream_ended(target.id);
+            this->note_upstream_ended(target);
         }
         this->context.responder.abort();
         return request_result{request_outcome::cut_off, this->relay.status()};
@@ -243,7 +252,10 @@
     // Returns nothing if the request may run again; otherwise ends it.
     auto retry_or_give_up(refusal_reason reason) -> std::optional<request_result> {
         this->last_reason = reason;
-        if (this->context.route.semantics == routing::execution_semantics::idempotent) {
+        auto const may_repeat =
+            this->context.route.semantics == routing::execution_semantics::idempotent &&
+            this->context.may_outlive(this->ends_before_answer);
+        if (may_repeat) {
             return std::nullopt;
         }
         return this->give_up(reason);
@@ -257,6 +269,9 @@
         auto const outcome_is_unknown = this->may_have_run && reason != refusal_reason::timed_out;
         if (outcome_is_unknown) {
             refused.reason = refusal_reason::outcome_unknown;
+        } else if (reason == refusal_reason::prompt_quarantined) {
+            refused = quarantine_refusal(this->context.quarantined_for(base::monotonic_clock::now())
+                                             .value_or(base::duration::zero()));
         } else if (reason != refusal_reason::timed_out) {
             auto const paused =
                 this->context.state().plain.paused_for(base::monotonic_clock::now());
@@ -303,6 +318,8 @@
     std::size_t possible_deliveries = 0;
     // Sends after which the upstream ran or may have run the request.
     std::size_t runs = 0;
+    // Sends that the upstream broke off before an answer.
+    std::size_t ends_before_answer = 0;
     bool may_have_run = false;
     refusal_reason last_reason = refusal_reason::no_upstream;
     // The failed answer of an upstream, which is forwarded if no other upstream succeeds.
--- a/linnetlane/router/registry_feed.cpp
+++ b/linnetlane/router/registry_feed.cpp
@@ -85,7 +85,8 @@
         if (question.complete) {
             return registry_update{{{}, {}, this->newest}, std::move(newer)};
         }
-        if (newer || this->newest > question.after || now >= deadline) {
+        if (newer || this->newest > question.after || this->has_facts_for(question) ||
+            now >= deadline) {
             auto changes = this->since(question.after);
             if (!changes) {
                 return registry_failure::history_lost;
--- a/linnetlane/router/registry_feed.h
+++ b/linnetlane/router/registry_feed.h
@@ -75,16 +75,27 @@
         this->lost_registry = lost;
         this->changed.notify_all();
     }
-    // Waits for changes after the position in `question`, or a newer configuration, and returns all
-    // of them together. Returns an update without changes at `deadline`, or a failure if the feed
-    // isn't valid or the changes are no longer known. For a question for all upstreams, returns as
-    // soon as the feed is valid, with the configuration only. Suspends the calling fiber.
+    // Sets the position of this host's facts that questions are answered for at once.
+    auto set_facts(fact_mark const& mark) -> void {
+        this->facts = mark;
+        this->changed.notify_all();
+    }
+    // Waits for changes after the position in `question`, a newer configuration or further facts,
+    // and returns all changes together. Returns an update without changes at `deadline`, or a
+    // failure if the feed isn't valid or the changes are no longer known. For a question for all
+    // upstreams, returns as soon as the feed is valid, with the configuration only. Suspends the
+    // calling fiber.
     [[nodiscard]] auto await(changes_question const& question, base::time_point deadline)
         -> changes_answer;
 
 private:
     // Returns the changes after `after`, or nothing if some are no longer known.
     [[nodiscard]] auto since(registry_position after) const -> std::optional<upstream_changes>;
+    // Returns whether this host has facts that the requesting host doesn't know.
+    [[nodiscard]] auto has_facts_for(changes_question const& question) const -> bool {
+        return question.known_facts && (question.known_facts->process != this->facts.process ||
+                                        question.known_facts->position < this->facts.position);
+    }
     [[nodiscard]] auto configuration_newer_than(routing::configuration_version asked) const
         -> std::shared_ptr<routing::configuration const>;
 
@@ -95,6 +106,7 @@
     bool reads_upstreams = false;
     bool reads_configuration = false;
     bool lost_registry = false;
+    fact_mark facts;
     base::time_point valid_until = base::time_point::min();
     base::time_point followed_until = base::time_point::min();
     struct follower {
--- a/linnetlane/router/registry_follower.h
+++ b/linnetlane/router/registry_follower.h
@@ -413,6 +413,7 @@
             return position;
         }
         view.relays.note_success(relay.host);
+        this->learn_from(relay, update);
         if (update.hosts > 0) {
             view.note_hosts(update.hosts, base::monotonic_clock::now());
         }
@@ -429,14 +430,38 @@
         return update.upstreams.position;
     }
 
-    auto ask_relay(host_entry const& relay, std::optional<registry_position> position) const
+    // Learns the facts in an answer, and remembers which ones both hosts know now.
+    auto learn_from(host_entry const& relay, registry_update const& update) -> void {
+        auto& view = this->host.view;
+        if (!update.facts_at || relay.host != this->facts_from) {
+            return;
+        }
+        auto const learned_meanwhile = view.facts.position() != this->asked_facts;
+        auto const now = base::monotonic_clock::now();
+        view.learn(without_ages(update.facts, now), now);
+        this->received_facts = *update.facts_at;
+        // The facts of the answer needn't be sent back.
+        this->sent_facts = learned_meanwhile ? this->asked_facts : view.facts.position();
+    }
+
+    auto ask_relay(host_entry const& relay, std::optional<registry_position> position)
         -> changes_answer {
         auto const configuration = this->host.view.routes.current();
         auto question = changes_question{
             position.value_or(registry_position{}), follower_timing::peer_wait,
             configuration ? configuration->version : routing::configuration_version{}};
         question.complete = !position;
-        question.sender = this->host.view.relays.own_entry();
+        auto& view = this->host.view;
+        question.sender = view.relays.own_entry();
+        if (this->facts_from != relay.host) {
+            this->facts_from = relay.host;
+            this->received_facts = fact_mark{};
+            this->sent_facts = routing::fact_position{};
+        }
+        auto const now = base::monotonic_clock::now();
+        question.known_facts = this->received_facts;
+        question.facts = with_ages(view.facts.changed_since(this->sent_facts, now), now);
+        this->asked_facts = view.facts.position();
         auto const answered = runtime::fetch(
             *relay.peers, make_changes_request(question), runtime::connection_use::pooled,
             base::monotonic_clock::now() + follower_timing::peer_wait +
@@ -576,6 +601,12 @@
     base::host_id followed;
     base::time_point next_order_refresh = base::time_point::min();
     registry_era known_era;
+    // The host with which facts were exchanged last, and what each of both knows.
+    base::host_id facts_from;
+    fact_mark received_facts;
+    routing::fact_position sent_facts;
+    // This host's facts at the last question.
+    routing::fact_position asked_facts;
 };
 
 }  // namespace linnetlane::router
--- a/linnetlane/router/request_context.h
+++ b/linnetlane/router/request_context.h
@@ -4,6 +4,7 @@
 #define LINNETLANE_ROUTER_REQUEST_CONTEXT_H_
 
 #include <algorithm>
+#include <cstddef>
 #include <memory>
 #include <optional>
 #include <utility>
@@ -80,6 +81,25 @@
         this->host.view.isolation.note_sent(to, now);
         this->state().isolation.note_sent(to, now);
     }
+    // Returns how much longer a part of the prompt is kept away from upstreams, if one is.
+    [[nodiscard]] auto quarantined_for(base::time_point now) const
+        -> std::optional<base::duration> {
+        auto const until = this->host.view.quarantine.blocked_until(this->caller.shared_parts, now);
+        return until ? std::optional{*until - now} : std::nullopt;
+    }
+    // Returns whether a further upstream may be tried after so many have broken off before the
+    // answer began. If the prompt can be the cause, a further one would probably end in the same
+    // way.
+    [[nodiscard]] auto may_outlive(std::size_t ends_before_answer) const -> bool {
+        constexpr auto max_ends = std::size_t{2};
+        return ends_before_answer < max_ends || this->caller.shared_parts.empty();
+    }
+    // Records that an answer to the prompt began.
+    auto note_answer_began() const -> void {
+        auto const now = base::monotonic_clock::now();
+        auto& view = this->host.view;
+        view.learn(view.quarantine.answer_began(this->caller.shared_parts, now), now);
+    }
     // Returns the shared parts of the prompt as one name, separated by commas, for the log.
     [[nodiscard]] auto joined_parts() const -> base::prompt_part_id {
         auto joined = base::prompt_part_id{};
@@ -90,11 +110,14 @@
     }
     // Records that an upstream broke off the request before the answer began.
     auto note_upstream_ended(base::upstream_id const& upstream) const -> void {
+        auto const now = base::monotonic_clock::now();
+        auto& view = this->host.view;
         this->host.metrics.count_upstream_ended();
         this->host.log.write(telemetry::log_level::info,
                              "upstream broke off before the answer began",
                              {this->caller.id, this->service, upstream,
                               telemetry::field::named("prompt_parts", this->joined_parts())});
+        view.learn(view.quarantine.upstream_ended(this->caller.shared_parts, upstream, now), now);
     }
     auto note_answer() const -> void {
         this->host.view.isolation.note_answer();
@@ -233,6 +256,12 @@
 
 // ---- Answers to callers ----
 
+// Refuses a request whose prompt has a part under which upstreams end. The caller is told when the
+// part may be tried again.
+[[nodiscard]] inline auto quarantine_refusal(base::duration left) -> refusal {
+    return refusal{refusal_reason::prompt_quarantined, left};
+}
+
 // Answers the request with a refusal.
 template <router_wire Wire>
 auto refuse(request_context const& context, refusal const& refused) -> request_result {
--- a/linnetlane/router/router_metrics.cpp
+++ b/linnetlane/router/router_metrics.cpp
@@ -66,6 +66,8 @@
             return "outcome_unknown";
         case refusal_reason::timed_out:
             return "timed_out";
+        case refusal_reason::prompt_quarantined:
+            return "prompt_quarantined";
         case refusal_reason::leaving:
             break;
     }
@@ -102,6 +104,8 @@
       upstreams{&gauge(*this->registry, "linnetlane_upstreams", "Upstreams known.")},
       configuration{&gauge(*this->registry, "linnetlane_configuration_version",
                            "The version of the configuration in force.")},
+      quarantined{&gauge(*this->registry, "linnetlane_quarantined_prompt_parts",
+                         "Parts of prompts that are kept away from upstreams.")},
       upstreams_ended{&counters(*this->registry, "linnetlane_upstreams_ended_total",
                                 "Requests that an upstream broke off before the answer began.")
                            .Add({})} {}
@@ -153,6 +157,10 @@
     this->configuration->Set(static_cast<double>(version.value));
 }
 
+auto router_metrics::set_quarantined(std::size_t parts) -> void {
+    this->quarantined->Set(static_cast<double>(parts));
+}
+
 auto router_metrics::count_upstream_ended() -> void {
     this->upstreams_ended->Increment();
 }
--- a/linnetlane/router/router_metrics.h
+++ b/linnetlane/router/router_metrics.h
@@ -6,6 +6,7 @@
 #ifndef LINNETLANE_ROUTER_ROUTER_METRICS_H_
 #define LINNETLANE_ROUTER_ROUTER_METRICS_H_
 
+#include <cstddef>
 #include <memory>
 #include <string>
 
@@ -49,6 +50,8 @@
     auto count_registry_failure() -> void;
     auto set_upstreams(std::size_t count) -> void;
     auto set_configuration(routing::configuration_version version) -> void;
+    // Sets the number of parts of prompts that are kept away from upstreams.
+    auto set_quarantined(std::size_t parts) -> void;
     // Counts an upstream that broke off a request before its answer began.
     auto count_upstream_ended() -> void;
 
@@ -69,6 +72,7 @@
     prometheus::Counter* registry_failures;
     prometheus::Gauge* upstreams;
     prometheus::Gauge* configuration;
+    prometheus::Gauge* quarantined;
     prometheus::Counter* upstreams_ended;
 };
 
--- a/linnetlane/router/routing_view.cpp
+++ b/linnetlane/router/routing_view.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace linnetlane::router {
 
@@ -66,6 +67,27 @@
     this->origins.note(origin, this->service(id).versions.is_mixed(now), now);
 }
 
+auto routing_view::learn(std::vector<routing::shared_fact> const& learned, base::time_point now)
+    -> void {
+    auto changed = false;
+    auto pending = std::vector<routing::shared_fact>{learned};
+    while (!pending.empty()) {
+        auto const fact = std::move(pending.back());
+        pending.pop_back();
+        auto const novelty = this->facts.note(fact, now);
+        if (novelty == routing::fact_novelty::known) {
+            continue;
+        }
+        changed = changed || novelty == routing::fact_novelty::changed;
+        auto const contrary = this->quarantine.apply(fact, now);
+        pending.insert(pending.end(), contrary.begin(), contrary.end());
+    }
+    // A confirmation goes along with the next answer to each follower.
+    if (changed) {
+        this->feed.set_facts(this->facts_mark());
+    }
+}
+
 auto routing_view::try_retry(base::service_id const& id, base::time_point now) -> bool {
     return this->service(id).retries.try_take(this->hosts, now);
 }
--- a/linnetlane/router/routing_view.h
+++ b/linnetlane/router/routing_view.h
@@ -6,6 +6,7 @@
 #define LINNETLANE_ROUTER_ROUTING_VIEW_H_
 
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <random>
@@ -21,10 +22,12 @@
 #include "linnetlane/router/stream_origins.h"
 #include "linnetlane/routing/admission.h"
 #include "linnetlane/routing/configuration.h"
+#include "linnetlane/routing/fact_board.h"
 #include "linnetlane/routing/generation_pool.h"
 #include "linnetlane/routing/isolation_detector.h"
 #include "linnetlane/routing/plain_pool.h"
 #include "linnetlane/routing/prefill_limiter.h"
+#include "linnetlane/routing/prompt_quarantine.h"
 #include "linnetlane/routing/retry_budget.h"
 #include "linnetlane/routing/upstream_set.h"
 #include "linnetlane/routing/version_history.h"
@@ -64,7 +67,10 @@
                                ? base::time_point::min()
                                : base::monotonic_clock::now() + base::duration{assumption_time}},
           retry_limits{settings.retries},
-          random{seed} {}
+          random{seed},
+          process{seed} {
+        this->feed.set_facts(this->facts_mark());
+    }
 
     // Returns whether requests can be routed.
     [[nodiscard]] auto ready() const -> bool {
@@ -91,6 +97,12 @@
         -> void;
     // Records that an upstream said that it leaves. Returns whether that is new.
     auto note_leaving(base::upstream_id const& id) -> bool;
+    // Records facts that this host observed or another one told it.
+    auto learn(std::vector<routing::shared_fact> const& learned, base::time_point now) -> void;
+    // Returns how many changes of this host's facts there were.
+    [[nodiscard]] auto facts_mark() const -> fact_mark {
+        return fact_mark{this->process, this->facts.position()};
+    }
     // Takes one retry from the service's budget. Returns false if none is left.
     [[nodiscard]] auto try_retry(base::service_id const& id, base::time_point now) -> bool;
 
@@ -108,6 +120,11 @@
     peer_directory peers;
     // This host reads the registry itself.
     bool reads_registry = false;
+    // The other hosts that read the registry, of all data centres.
+    std::vector<host_entry> other_readers;
+    // What this host and others have observed.
+    routing::fact_board facts;
+    routing::prompt_quarantine quarantine;
 
 private:
     [[nodiscard]] static auto capacity_of(router_settings const& settings) -> host_capacity {
@@ -122,6 +139,8 @@
     routing::retry_budget_limits retry_limits;
     routing::data_centre_reachability reachability;
     std::minstd_rand random;
+    // Identifies this process in its facts' positions.
+    std::uint64_t process;
     std::map<base::service_id, std::unique_ptr<service_state>> services;
 };
 
--- a/linnetlane/router/routing_view_test.cpp
+++ b/linnetlane/router/routing_view_test.cpp
@@ -48,6 +48,23 @@
     BOOST_TEST(view.hosts == 3U);
 }
 
+// Otherwise followers ask again and again without a pause.
+BOOST_AUTO_TEST_CASE(a_follower_of_a_host_without_facts_waits_for_changes) {
+    auto view = routing_view{settings_of_restart(true), 1};
+    view.feed.set_reads_configuration(true);
+    view.feed.restart(registry_position{10});
+    view.feed.extend_validity(base::time_point::max());
+    auto question = changes_question{{10}, {}, {}};
+    question.known_facts = view.facts_mark();
+    auto const until = base::monotonic_clock::now() + 50ms;
+    static_cast<void>(view.feed.await(question, until));
+    BOOST_TEST((base::monotonic_clock::now() >= until));
+    auto const now = base::monotonic_clock::now();
+    view.learn({{{routing::fact_kind::prompt_crash, "part", "u#1"}, 0, now}}, now);
+    static_cast<void>(view.feed.await(question, now + 1min));
+    BOOST_TEST((base::monotonic_clock::now() < now + 1min));
+}
+
 BOOST_AUTO_TEST_CASE(only_hosts_of_the_same_data_centre_are_followed) {
     auto listing = host_listing{};
     for (auto const* const data_centre : {"a", "b", "a"}) {
--- a/linnetlane/router/stream_relay.h
+++ b/linnetlane/router/stream_relay.h
@@ -6,6 +6,7 @@
 
 #include <optional>
 #include <string_view>
+#include <utility>
 
 #include "linnetlane/router/event_framing.h"
 #include "linnetlane/router/messages.h"
@@ -71,7 +72,9 @@
             this->first_bytes = base::monotonic_clock::now();
         }
         auto const events = this->framing.take(bytes);
-        this->event_arrived = this->event_arrived || !events.empty();
+        if (!events.empty() && !std::exchange(this->event_arrived, true)) {
+            this->context.note_answer_began();
+        }
         return this->context.responder.write(this->context.route.resumable ? events : bytes);
     }
 
--- /dev/null
+++ b/linnetlane/routing/fact_board.cpp
@@ -0,0 +1,85 @@
+#include "linnetlane/routing/fact_board.h"
+
+#include <algorithm>
+
+namespace linnetlane::routing {
+
+auto fact_board::lifetime(fact_kind kind) -> base::duration {
+    switch (kind) {
+        case fact_kind::prompt_crash:
+        case fact_kind::prompt_quarantined:
+            return std::chrono::minutes{10};
+        case fact_kind::prompt_answered:
+            return std::chrono::minutes{1};
+        case fact_kind::upstream_limit:
+            break;
+    }
+    return std::chrono::seconds{10};
+}
+
+auto fact_board::note(shared_fact const& fact, base::time_point now) -> fact_novelty {
+    auto const too_long =
+        fact.key.subject.size() > max_text_bytes || fact.key.witness.size() > max_text_bytes;
+    if (too_long || fact.observed_at + lifetime(fact.key.kind) <= now) {
+        return fact_novelty::known;
+    }
+    this->forget_expired(now);
+    auto const found = this->facts.find(fact.key);
+    auto novelty = fact_novelty::changed;
+    if (found != this->facts.end()) {
+        auto& known = found->second;
+        auto const same_value = known.value == fact.value;
+        auto const later = same_value ? fact.observed_at >= known.told_at + confirm_interval
+                                      : fact.observed_at > known.observed_at;
+        if (!later) {
+            if (same_value) {
+                // An older observation of another value may still arrive.
+                known.observed_at = std::max(known.observed_at, fact.observed_at);
+            }
+            return fact_novelty::known;
+        }
+        novelty = same_value ? fact_novelty::confirmed : fact_novelty::changed;
+    } else {
+        this->make_room(fact.key.kind);
+    }
+    this->newest = this->newest.next();
+    this->facts.insert_or_assign(
+        fact.key, entry{fact.value, fact.observed_at, fact.observed_at, this->newest});
+    return novelty;
+}
+
+auto fact_board::changed_since(fact_position after, base::time_point now) const
+    -> std::vector<shared_fact> {
+    auto changed = std::vector<shared_fact>{};
+    for (auto const& [key, one] : this->facts) {
+        if (one.changed_at > after && now < one.observed_at + lifetime(key.kind)) {
+            changed.push_back({key, one.value, one.observed_at});
+        }
+    }
+    return changed;
+}
+
+auto fact_board::forget_expired(base::time_point now) -> void {
+    std::erase_if(this->facts, [&](auto const& each) {
+        return each.second.observed_at + lifetime(each.first.kind) <= now;
+    });
+}
+
+auto fact_board::make_room(fact_kind kind) -> void {
+    auto oldest = this->facts.end();
+    auto count = std::size_t{0};
+    for (auto each = this->facts.begin(); each != this->facts.end(); ++each) {
+        if (each->first.kind != kind) {
+            continue;
+        }
+        ++count;
+        if (oldest == this->facts.end() || each->second.observed_at < oldest->second.observed_at) {
+            oldest = each;
+        }
+    }
+    if (count >= max_facts) {
+        this->facts.erase(oldest);
+    }
+}
+
+}  // namespace linnetlane::routing
