Router: a quarantine outlives the loss of all hosts

After the loss of all hosts at once, nobody knew which prompts crash engines, and callers lost three more engines' streams until the new processes had found out again. Cause: the evidence was kept in memory only.

Each host adopts listed parts of which it knows nothing, at its start too.

Ruled out: recording each crash (a write for each); a lease that is renewed, with which a wrong verdict would never end.

--- a/linnetlane/router/host_membership.h
+++ b/linnetlane/router/host_membership.h
@@ -54,6 +54,8 @@
     static constexpr auto first_interval = std::chrono::milliseconds{300};
     static constexpr auto first_intervals = 8;
     static constexpr auto call_timeout = std::chrono::milliseconds{800};
+    // How long a recorded quarantine may be missing in the list before it is recorded again.
+    static constexpr auto record_interval = std::chrono::seconds{30};
     // Added to `order_lease` after a claim, for orders of the previous order giver in transit.
     static constexpr auto takeover_margin = std::chrono::milliseconds{1500};
     // No order is given when less than this is left of the lease.
@@ -167,6 +169,7 @@
         auto const& listed = base::value_of(listing);
         auto& view = this->host.view;
         auto const now = base::monotonic_clock::now();
+        view.learn_quarantined(listed.quarantined, now);
         auto const followers = view.feed.followers(now);
         this->publish_followers(followers.size());
         view.other_readers.clear();
@@ -183,6 +186,31 @@
             view.note_hosts(this->count_hosts(listed), now);
         }
         this->claim_order_giver_role(listed);
+        this->record_quarantines(listed);
+    }
+
+    // Records the quarantined parts in the registry, for hosts that start after all others were
+    // lost.
+    auto record_quarantines(host_listing const& listed) -> void {
+        auto const now = base::monotonic_clock::now();
+        std::erase_if(this->recorded_until, [&](auto const& each) { return each.second <= now; });
+        for (auto const& part : this->host.view.quarantine.convicted(now)) {
+            auto const is_listed =
+                std::ranges::find(listed.quarantined, part) != listed.quarantined.end();
+            if (is_listed || this->recorded_until.contains(part)) {
+                continue;
+            }
+            // The list may be stale.
+            this->recorded_until[part] = now + record_interval;
+            auto const recorded = this->registry.record_quarantine(
+                part, routing::fact_board::lifetime(routing::fact_kind::prompt_quarantined),
+                base::monotonic_clock::now() + call_timeout);
+            if (base::failure_of(recorded) != nullptr) {
+                this->recorded_until.erase(part);
+                this->host.log.write(telemetry::log_level::warning, "quarantine not recorded",
+                                     {telemetry::field::named("part", part)});
+            }
+        }
     }
 
     // Returns the number of registered hosts and their followers.
@@ -464,6 +492,9 @@
     // after a restoration, of which a process that has just started doesn't know.
     base::time_point claims_uncertain_until = started_at + lease_ttl + takeover_margin;
     bool leaving = false;
+    // Parts of prompts whose quarantine this host recorded, and when their absence from the list
+    // counts again.
+    std::map<base::prompt_part_id, base::time_point> recorded_until;
 };
 
 }  // namespace linnetlane::router
--- a/linnetlane/router/messages.h
+++ b/linnetlane/router/messages.h
@@ -263,6 +263,8 @@
     std::vector<registered_host> hosts;
     // The host that is the order giver, if any.
     std::optional<base::host_id> order_giver;
+    // The parts of prompts that hosts have quarantined.
+    std::vector<base::prompt_part_id> quarantined;
 };
 
 // Whether a read of the registry may return stale data, at a lower cost.
@@ -274,7 +276,8 @@
                                    base::duration wait, base::time_point deadline,
                                    registered_host const& self, base::host_id const& host,
                                    registry_lease lease, base::caller_request_id const& request,
-                                   std::vector<stream_origin> const& streams) {
+                                   std::vector<stream_origin> const& streams,
+                                   base::prompt_part_id const& part) {
     {
         registry.read_configuration(deadline)
         } -> std::same_as<base::result<configuration_reading, registry_failure>>;
@@ -312,6 +315,10 @@
     {
         registry.record_streams(streams, lease, deadline)
         } -> std::same_as<base::result<base::nothing, registry_failure>>;
+    // Records for `wait` that a part of prompts is quarantined, unless that is recorded already.
+    {
+        registry.record_quarantine(part, wait, deadline)
+        } -> std::same_as<base::result<base::nothing, registry_failure>>;
     // Returns the recorded version of the stream that answered `request`; empty if there is none.
     {
         registry.find_stream(request, deadline)
--- a/linnetlane/router/routing_view.cpp
+++ b/linnetlane/router/routing_view.cpp
@@ -88,6 +88,15 @@
     }
 }
 
+auto routing_view::learn_quarantined(std::vector<base::prompt_part_id> const& parts,
+                                     base::time_point now) -> void {
+    for (auto const& part : parts) {
+        if (this->quarantine.is_unknown(part)) {
+            this->learn({{{routing::fact_kind::prompt_quarantined, part.value, {}}, 0, now}}, now);
+        }
+    }
+}
+
 auto routing_view::try_retry(base::service_id const& id, base::time_point now) -> bool {
     return this->service(id).retries.try_take(this->hosts, now);
 }
--- a/linnetlane/router/routing_view.h
+++ b/linnetlane/router/routing_view.h
@@ -99,6 +99,9 @@
     auto note_leaving(base::upstream_id const& id) -> bool;
     // Records facts that this host observed or another one told it.
     auto learn(std::vector<routing::shared_fact> const& learned, base::time_point now) -> void;
+    // Adopts quarantines of prompt parts that the registry lists.
+    auto learn_quarantined(std::vector<base::prompt_part_id> const& parts, base::time_point now)
+        -> void;
     // Returns how many changes of this host's facts there were.
     [[nodiscard]] auto facts_mark() const -> fact_mark {
         return fact_mark{this->process, this->facts.position()};
--- a/linnetlane/routing/prompt_quarantine.cpp
+++ b/linnetlane/routing/prompt_quarantine.cpp
@@ -92,6 +92,16 @@
     return found;
 }
 
+auto prompt_quarantine::convicted(base::time_point now) const -> std::vector<base::prompt_part_id> {
+    auto parts = std::vector<base::prompt_part_id>{};
+    for (auto const& [part, each] : this->verdicts) {
+        if (each.from_crashes && now >= each.in_force_from && now < each.until) {
+            parts.push_back(part);
+        }
+    }
+    return parts;
+}
+
 auto prompt_quarantine::forget_expired(base::time_point now) -> void {
     auto const span = fact_board::lifetime(fact_kind::prompt_crash);
     for (auto& [part, one] : this->suspects) {
@@ -215,6 +225,7 @@
             this->verdicts.try_emplace(each.part, verdict{from, last_crash + span}).first->second;
         known.in_force_from = std::min(known.in_force_from, from);
         known.until = std::max(known.until, last_crash + span);
+        known.from_crashes = true;
     }
 }
 
--- a/linnetlane/routing/prompt_quarantine.h
+++ b/linnetlane/routing/prompt_quarantine.h
@@ -67,6 +67,13 @@
     // Returns the quarantined parts and when each was quarantined.
     [[nodiscard]] auto quarantined(base::time_point now) const
         -> std::map<base::prompt_part_id, base::time_point>;
+    // Returns the parts that are quarantined for crashes that this process knows.
+    [[nodiscard]] auto convicted(base::time_point now) const -> std::vector<base::prompt_part_id>;
+    // Returns whether this process knows nothing for or against the part, so that an earlier
+    // verdict holds.
+    [[nodiscard]] auto is_unknown(base::prompt_part_id const& part) const -> bool {
+        return !this->suspects.contains(part) && !this->answered.contains(part);
+    }
 
 private:
     struct suspect {
@@ -79,6 +86,7 @@
     struct verdict {
         base::time_point in_force_from;
         base::time_point until;
+        bool from_crashes = false;
     };
     // A suspect with its crashes since the last answer.
     struct candidate {
