Router: logs state which upstreams name a rate limit; hosts tell each other

The limit is a shared fact with an age; nothing acts on it yet. An answer without a limit counts only if it is an answer to a caller's request and the limit was named 300 ms before or earlier, since answers overtake each other.

--- a/linnetlane/router/messages.h
+++ b/linnetlane/router/messages.h
@@ -92,6 +92,9 @@
     bool leaving = false;
     // The upstream wants nothing from this host for so long.
     std::optional<base::duration> pause;
+    // The requests per second that the upstream takes from all hosts together, for as long as its
+    // answers say so.
+    std::optional<double> rate_limit;
     std::optional<routing::load_report> load;
 };
 
--- a/linnetlane/router/request_context.h
+++ b/linnetlane/router/request_context.h
@@ -4,6 +4,7 @@
 #define LINNETLANE_ROUTER_REQUEST_CONTEXT_H_
 
 #include <algorithm>
+#include <chrono>
 #include <cstddef>
 #include <memory>
 #include <optional>
@@ -32,10 +33,43 @@
     router_settings const& settings;
 };
 
-// Records what an upstream's answer says of the upstream itself: that it leaves, or wants a pause.
+// How long after a limit was named an answer without one counts as older than it.
+inline constexpr auto rate_limit_settling = std::chrono::milliseconds{300};
+
+// Records the limit that an upstream names for the requests of all hosts together, or that it names
+// none any more. Only answers to callers' requests tell that it names none.
+inline auto note_rate_limit(host_context const& host, base::service_id const& service,
+                            base::upstream_id const& from, upstream_answer const& answer) -> void {
+    auto const now = base::monotonic_clock::now();
+    auto const key = routing::fact_key{routing::fact_kind::upstream_limit, from.value, {}};
+    auto const known = host.view.facts.find(key, now);
+    auto const was_limited = known && known->value >= 0;
+    if (answer.other_instance || (!answer.rate_limit && !was_limited)) {
+        return;
+    }
+    if (answer.rate_limit) {
+        if (!was_limited || known->value != *answer.rate_limit) {
+            constexpr auto thousandths = 1000.0;
+            host.log.write(telemetry::log_level::info, "upstream names a limit",
+                           {from,
+                            service,
+                            {"requests_per_1000_s",
+                             static_cast<std::int64_t>(thousandths * *answer.rate_limit)}});
+        }
+        host.view.learn({{key, *answer.rate_limit, now}}, now);
+    } else if (answer.attested && known->observed_at + rate_limit_settling <= now) {
+        host.log.write(telemetry::log_level::info, "upstream names no limit any more",
+                       {from, service});
+        host.view.learn({{key, routing::no_limit, now}}, now);
+    }
+}
+
+// Records what an upstream's answer says of the upstream itself: that it leaves, wants a pause, or
+// takes a limited rate of requests.
 inline auto note_announcements(host_context const& host, base::service_id const& service,
                                base::upstream_id const& from, upstream_answer const& answer)
     -> void {
+    note_rate_limit(host, service, from, answer);
     if (answer.leaving && host.view.note_leaving(from)) {
         host.log.write(telemetry::log_level::info, "upstream says that it leaves", {from, service});
     }
--- a/linnetlane/router/routing_view.cpp
+++ b/linnetlane/router/routing_view.cpp
@@ -79,8 +79,10 @@
             continue;
         }
         changed = changed || novelty == routing::fact_novelty::changed;
-        auto const contrary = this->quarantine.apply(fact, now);
-        pending.insert(pending.end(), contrary.begin(), contrary.end());
+        if (fact.key.kind != routing::fact_kind::upstream_limit) {
+            auto const contrary = this->quarantine.apply(fact, now);
+            pending.insert(pending.end(), contrary.begin(), contrary.end());
+        }
     }
     // A confirmation goes along with the next answer to each follower.
     if (changed) {
--- a/linnetlane/routing/fact_board.cpp
+++ b/linnetlane/routing/fact_board.cpp
@@ -59,6 +59,15 @@
     return changed;
 }
 
+auto fact_board::find(fact_key const& key, base::time_point now) const
+    -> std::optional<shared_fact> {
+    auto const found = this->facts.find(key);
+    if (found == this->facts.end() || found->second.observed_at + lifetime(key.kind) <= now) {
+        return std::nullopt;
+    }
+    return shared_fact{key, found->second.value, found->second.observed_at};
+}
+
 auto fact_board::forget_expired(base::time_point now) -> void {
     std::erase_if(this->facts, [&](auto const& each) {
         return each.second.observed_at + lifetime(each.first.kind) <= now;
--- a/linnetlane/routing/fact_board.h
+++ b/linnetlane/routing/fact_board.h
@@ -17,6 +17,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -40,6 +41,9 @@
     upstream_limit = 4,
 };
 
+// The value of `fact_kind::upstream_limit` for an upstream that names no limit.
+inline constexpr auto no_limit = -1.0;
+
 struct fact_key {
     fact_kind kind = fact_kind::prompt_crash;
     std::string subject;
@@ -87,6 +91,9 @@
     // Returns the facts that changed after `after` and still hold.
     [[nodiscard]] auto changed_since(fact_position after, base::time_point now) const
         -> std::vector<shared_fact>;
+    // Returns the newest observation of a subject, or nothing if none holds.
+    [[nodiscard]] auto find(fact_key const& key, base::time_point now) const
+        -> std::optional<shared_fact>;
     [[nodiscard]] auto position() const -> fact_position { return this->newest; }
     [[nodiscard]] auto empty() const -> bool { return this->facts.empty(); }
 
