Router: hosts together keep the rate that an upstream takes

Cause: no host read the limit, and none knew what the others send; with seven hosts that each kept it for themselves, it would have got seven times as much.

Change: upstream_rate_limits gives each host an equal share as points in time, with a random phase; an unused point expires after 750 ms, so that hundreds of idle hosts can't all send at once. The pools skip an upstream for which no point is due, as they do for a pause; reservations, prefills, decodes, plain requests and retries each use one. A service or stage of which nothing takes a request is refused at once, and the caller is told when a point is due. Limits reach the other hosts as facts; the newest one holds, and one that isn't named for ten seconds ends. The number of hosts is the one that shares the retry budget.

Ruled out: tokens that idle hosts save up (300 requests at once with 300 hosts); 0.9 of the limit with points that hold 1.5 s (22 requests in a window of four seconds where 21 are allowed, with 300 hosts); shares by demand, which would need the demand of each host.

--- a/linnetlane/router/generation_forwarder.h
+++ b/linnetlane/router/generation_forwarder.h
@@ -84,6 +84,10 @@
         if (this->context.quarantined_for(base::monotonic_clock::now())) {
             return attempt_result::quarantined;
         }
+        if (this->context.state().generation.paused_for(base::monotonic_clock::now()) >
+            base::duration::zero()) {
+            return attempt_result::no_capacity;
+        }
         if (!this->prefill_is_timely({})) {
             this->log_step({}, "prefill queues are too long");
             return attempt_result::no_capacity;
@@ -166,6 +170,7 @@
     auto reserve_at(routing::upstream_record engine) -> std::optional<decode_reservation> {
         auto const now = base::monotonic_clock::now();
         this->context.note_sent(engine.address, now);
+        this->context.note_request_to(engine.id);
         auto const called = runtime::fetch(
             engine.address,
             Wire::make_reserve_request(engine.id, this->reserved_tokens(), this->reservation_ttl()),
@@ -330,6 +335,7 @@
         auto const timeout =
             std::max<base::duration>(min_prefill_timeout, this->context.route.target_latency);
         auto const deadline = std::min(this->context.answer_by, now + timeout);
+        this->context.note_request_to(engine.id);
         // The engine drops the prompt if it hasn't begun by the deadline.
         auto const options = send_options{engine.id, deadline - now};
         auto result =
@@ -417,6 +423,7 @@
                                       : attempt_result::no_capacity;
         }
         auto const options = send_options{reserved.engine.id, this->context.answer_by - now};
+        this->context.note_request_to(reserved.engine.id);
         auto const decoding = decode_options{source, reserved.id, this->relay.last_event()};
         auto result = exchange_with_upstream<Wire>(
             this->context, reserved.engine.address,
--- a/linnetlane/router/plain_forwarder.h
+++ b/linnetlane/router/plain_forwarder.h
@@ -50,7 +50,13 @@
             }
             auto const target = this->is_isolated(now) ? std::nullopt : this->next_target(now);
             if (!target) {
-                return this->sent_nothing() ? unsent_request() : this->give_up(this->last_reason);
+                if (this->sent_nothing()) {
+                    return unsent_request();
+                }
+                auto const blocked =
+                    this->context.state().plain.paused_for(now) > base::duration::zero();
+                return this->give_up(blocked && this->sends == 0 ? refusal_reason::overloaded
+                                                                 : this->last_reason);
             }
             if (auto const end = this->attempt(*target)) {
                 return *end;
@@ -122,6 +128,7 @@
         auto& pool = this->context.state().plain;
         pool.started(target.id);
         auto const sent_at = base::monotonic_clock::now();
+        this->context.note_request_to(target.id);
         auto const options = send_options{target.id, this->context.answer_by - sent_at};
         auto result = exchange_with_upstream<Wire>(
             this->context, target.address,
--- a/linnetlane/router/request_context.h
+++ b/linnetlane/router/request_context.h
@@ -110,6 +110,10 @@
         return this->host.view.isolation.is_isolated(now) ||
                this->state().isolation.is_isolated(now);
     }
+    // Records that a request is sent to an upstream, which counts against its rate limit.
+    auto note_request_to(base::upstream_id const& upstream) const -> void {
+        this->state().rate_limits.note_sent(upstream, base::monotonic_clock::now());
+    }
     // Record the begin and the end of an exchange with an upstream.
     auto note_sent(base::endpoint const& to, base::time_point now) const -> void {
         this->host.view.isolation.note_sent(to, now);
--- a/linnetlane/router/routing_view.cpp
+++ b/linnetlane/router/routing_view.cpp
@@ -10,6 +10,7 @@
     auto& state = this->services[id];
     if (!state) {
         state = std::make_unique<service_state>(this->retry_limits, this->reachability);
+        state->rate_limits.set_hosts(this->hosts, base::monotonic_clock::now());
     }
     return *state;
 }
@@ -39,6 +40,7 @@
     for (auto const& [service, state] : this->services) {
         state->plain.forget(id);
         state->generation.forget(id);
+        state->rate_limits.lift(id);
     }
 }
 
@@ -51,6 +53,9 @@
         this->hosts = std::max<std::size_t>(count, 1);
         this->hosts_known = true;
         this->peak_hosts_until = now + this->retry_limits.window;
+        for (auto const& [id, state] : this->services) {
+            state->rate_limits.set_hosts(this->hosts, now);
+        }
     }
 }
 
@@ -79,7 +84,9 @@
             continue;
         }
         changed = changed || novelty == routing::fact_novelty::changed;
-        if (fact.key.kind != routing::fact_kind::upstream_limit) {
+        if (fact.key.kind == routing::fact_kind::upstream_limit) {
+            this->apply_rate_limit(fact, now);
+        } else {
             auto const contrary = this->quarantine.apply(fact, now);
             pending.insert(pending.end(), contrary.begin(), contrary.end());
         }
@@ -90,6 +97,22 @@
     }
 }
 
+auto routing_view::apply_rate_limit(routing::shared_fact const& fact, base::time_point now)
+    -> void {
+    auto const id = base::upstream_id{fact.key.subject};
+    auto const* const record = this->upstreams.find(id);
+    if (record == nullptr) {
+        // Another host learned of the upstream first and will name the limit again.
+        return;
+    }
+    auto& limits = this->service(record->service).rate_limits;
+    if (fact.value < 0) {
+        limits.lift(id);
+    } else {
+        limits.set(id, fact.value, fact.observed_at, now, this->draw());
+    }
+}
+
 auto routing_view::learn_quarantined(std::vector<base::prompt_part_id> const& parts,
                                      base::time_point now) -> void {
     for (auto const& part : parts) {
--- a/linnetlane/router/routing_view.h
+++ b/linnetlane/router/routing_view.h
@@ -29,6 +29,7 @@
 #include "linnetlane/routing/prefill_limiter.h"
 #include "linnetlane/routing/prompt_quarantine.h"
 #include "linnetlane/routing/retry_budget.h"
+#include "linnetlane/routing/upstream_rate_limits.h"
 #include "linnetlane/routing/upstream_set.h"
 #include "linnetlane/routing/version_history.h"
 
@@ -38,8 +39,18 @@
 struct service_state {
     service_state(routing::retry_budget_limits const& retry_limits,
                   routing::data_centre_reachability& shared_reachability)
-        : plain{shared_reachability}, generation{shared_reachability}, retries{retry_limits} {}
+        : plain{shared_reachability}, generation{shared_reachability}, retries{retry_limits} {
+        this->plain.set_rate_limits(this->rate_limits);
+        this->generation.set_rate_limits(this->rate_limits);
+    }
+    service_state(service_state const&) = delete;
+    auto operator=(service_state const&) -> service_state& = delete;
+    service_state(service_state&&) = delete;
+    auto operator=(service_state&&) -> service_state& = delete;
+    ~service_state() = default;
 
+    // Of all upstreams of the service, which the pools refer to.
+    routing::upstream_rate_limits rate_limits;
     routing::plain_pool plain;
     routing::generation_pool generation;
     routing::prefill_limiter prefill_limits;
@@ -130,6 +141,8 @@
     routing::prompt_quarantine quarantine;
 
 private:
+    // Applies what an upstream said of the rate that it takes.
+    auto apply_rate_limit(routing::shared_fact const& fact, base::time_point now) -> void;
     [[nodiscard]] static auto capacity_of(router_settings const& settings) -> host_capacity {
         constexpr auto thousandths = 1000.0;
         return host_capacity{
--- a/linnetlane/routing/plain_pool.h
+++ b/linnetlane/routing/plain_pool.h
@@ -6,6 +6,7 @@
 #ifndef LINNETLANE_ROUTING_PLAIN_POOL_H_
 #define LINNETLANE_ROUTING_PLAIN_POOL_H_
 
+#include <algorithm>
 #include <cstddef>
 #include <map>
 #include <optional>
@@ -18,6 +19,7 @@
 #include "linnetlane/routing/load_report.h"
 #include "linnetlane/routing/upstream_health.h"
 #include "linnetlane/routing/upstream_pauses.h"
+#include "linnetlane/routing/upstream_rate_limits.h"
 #include "linnetlane/routing/upstream_set.h"
 
 namespace linnetlane::routing {
@@ -41,6 +43,10 @@
     // `shared_reachability` must outlive the pool.
     explicit plain_pool(data_centre_reachability& shared_reachability)
         : reachability{&shared_reachability} {}
+    // Keeps to the limits in `shared`, which must outlive the pool.
+    auto set_rate_limits(upstream_rate_limits const& shared) -> void {
+        this->rate_limits = &shared;
+    }
 
     // Replaces the upstreams of the service. Call `forget` first for upstreams that have restarted.
     auto set_members(std::vector<upstream_record> const& records) -> void;
@@ -53,8 +59,8 @@
         -> void {
         this->pauses.note(id, until, now);
     }
-    // Returns how much longer all upstreams that could be picked want nothing from this host; zero
-    // if one of them takes requests, or if there is none.
+    // Returns how much longer no upstream takes a request of this host, because of pauses and rate
+    // limits; zero if one does, or if there is none.
     [[nodiscard]] auto paused_for(base::time_point now) const -> base::duration;
     // Returns the best upstream outside of `tried`, or nothing if there is none. Ejected upstreams
     // and those in suspect data centres are used only if no other is left. `draw` from [0, 1)
@@ -87,9 +93,23 @@
     // Returns the expected time of a request that is sent to the upstream now.
     [[nodiscard]] auto expected_seconds(member const& one, base::time_point now) const -> double;
 
+    // Returns how much longer nothing may be sent to the upstream.
+    [[nodiscard]] auto blocked_for(base::upstream_id const& id, base::time_point now) const
+        -> base::duration {
+        auto const pause = this->pauses.time_left(id, now);
+        return this->rate_limits == nullptr
+                   ? pause
+                   : std::max(pause, this->rate_limits->time_left(id, now));
+    }
+    [[nodiscard]] auto is_blocked(base::upstream_id const& id, base::time_point now) const -> bool {
+        return this->blocked_for(id, now) > base::duration::zero();
+    }
+
     data_centre_reachability* reachability;
     std::map<base::upstream_id, member> members;
     upstream_pauses pauses;
+    // Null if there are none.
+    upstream_rate_limits const* rate_limits = nullptr;
     // The moving mean over all upstreams, for those that have not answered yet, in seconds.
     double overall_mean_seconds = 0;
 };
