Router: a stream that ends inside an event has been interrupted

A stream with neither a length nor chunks whose connection ends inside an event was passed on as complete, with half an event at its end: to callers of streams that may run once, of plain streams, and of resumable ones, which went on nowhere. Cause: the end of the connection counted as the end of the stream, whatever came before it.

Change: the relay passes on whole events only, on all routes, and a stream that ends inside one, or whose event is longer than 1 MiB, has been interrupted: a resumable one goes on at another engine, others are broken off. Plain answers without a length were right already (a reset isn't an end).

users_platform_odd_answers_test plays this with a stand-in that sends any bytes.

--- a/linnetlane/router/event_framing.h
+++ b/linnetlane/router/event_framing.h
@@ -4,6 +4,7 @@
 #ifndef LINNETLANE_ROUTER_EVENT_FRAMING_H_
 #define LINNETLANE_ROUTER_EVENT_FRAMING_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -14,10 +15,16 @@
 // Buffers the incomplete event at the end of a stream.
 class event_framing {
 public:
+    static constexpr auto max_event_bytes = std::size_t{1} * 1024 * 1024;
+
     // Adds received bytes and returns the events that are now complete, unchanged.
     [[nodiscard]] auto take(std::string_view bytes) -> std::string;
     // Returns the bytes of the incomplete event.
     [[nodiscard]] auto incomplete() const -> std::string const& { return this->pending; }
+    // Returns whether the incomplete event is longer than any that an upstream sends.
+    [[nodiscard]] auto is_oversized() const -> bool {
+        return this->pending.size() > max_event_bytes;
+    }
     // Drops the incomplete event, after its upstream was lost.
     auto discard_incomplete() -> void { this->pending.clear(); }
     // Returns the id of the last complete event, if there was one with an id.
--- a/linnetlane/router/stream_relay.h
+++ b/linnetlane/router/stream_relay.h
@@ -20,7 +20,8 @@
 public:
     explicit stream_relay(request_context const& own_context) : context{own_context} {}
 
-    // Forwards the stream of `from` until it ends. Call again to continue with another upstream.
+    // Forwards the stream of `from` until it ends. Call again to continue with another upstream. A
+    // stream that ends inside an event has been interrupted.
     auto run(opened_answer& from) -> relay_outcome {
         this->event_arrived = false;
         if (!this->begun && !this->begin(from)) {
@@ -40,6 +41,10 @@
             if (!this->forward(bytes)) {
                 return relay_outcome::caller_left;
             }
+            if (this->framing.is_oversized()) {
+                this->framing.discard_incomplete();
+                return relay_outcome::interrupted;
+            }
         }
     }
 
@@ -68,21 +73,26 @@
     }
 
     auto forward(std::string_view bytes) -> bool {
+        auto const events = this->framing.take(bytes);
+        if (events.empty()) {
+            return true;
+        }
         if (!this->first_bytes) {
             this->first_bytes = base::monotonic_clock::now();
         }
-        auto const events = this->framing.take(bytes);
-        if (!events.empty() && !std::exchange(this->event_arrived, true)) {
+        if (!std::exchange(this->event_arrived, true)) {
             this->context.note_answer_began();
         }
-        return this->context.responder.write(this->context.route.resumable ? events : bytes);
+        return this->context.responder.write(events);
     }
 
     auto finish() -> relay_outcome {
-        auto const rest = this->context.route.resumable ? this->framing.incomplete() : "";
-        auto const rest_sent = this->context.responder.write(rest);
-        return rest_sent && this->context.responder.finish() ? relay_outcome::complete
-                                                             : relay_outcome::caller_left;
+        if (!this->framing.incomplete().empty()) {
+            this->framing.discard_incomplete();
+            return relay_outcome::interrupted;
+        }
+        return this->context.responder.finish() ? relay_outcome::complete
+                                                : relay_outcome::caller_left;
     }
 
     [[nodiscard]] auto outcome_for(runtime::http_failure const& failed) const -> relay_outcome {
