HTTP client: a line before a chunk is limited, and so are responses that are skipped

An upstream whose answer has a chunk size without an end took 3.3 GB of a host's memory until the caller's time was over. Cause: the parser waits for the end of that line and its buffer had no limit; heads and bodies have one.

Change: 256 KiB of bytes that the parser can't use yet, 1 MiB of a response that is skipped (it was limited by its deadline only), 16 MiB (was 64) of one that is read whole.

--- a/linnetlane/runtime/http_client.cpp
+++ b/linnetlane/runtime/http_client.cpp
@@ -31,7 +31,12 @@
 // Readers limit the length of a response themselves. Without a limit, Beast rejects every declared
 // length as too long.
 constexpr auto no_body_limit = std::numeric_limits<std::uint64_t>::max();
-constexpr auto fetched_body_bytes = std::size_t{64} * 1024 * 1024;
+constexpr auto fetched_body_bytes = std::size_t{16} * 1024 * 1024;
+// Received bytes that the parser can't use yet. Beast doesn't limit the line before a chunk, for
+// which it would wait without end.
+constexpr auto max_buffered_bytes = std::size_t{256} * 1024;
+// The length of a response that is read only to reach the next one.
+constexpr auto max_skipped_body_bytes = std::size_t{1} * 1024 * 1024;
 constexpr auto kept_connections_per_endpoint = std::size_t{64};
 // How long an idle connection is kept if the server states no idle timeout.
 constexpr auto default_keep_time = std::chrono::seconds{4};
@@ -49,7 +54,7 @@
     explicit connection(boost::asio::io_context& context) : stream(context) {}
 
     internal::byte_stream stream;
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer{max_buffered_bytes};
     // Not used for another request after this.
     base::time_point reusable_until = base::time_point::max();
 };
@@ -329,6 +334,7 @@
     }
     own.used->stream.expires_at(deadline);
     auto chunk = std::array<char, chunk_bytes>{};
+    auto skipped = std::size_t{0};
     for (;;) {
         auto const read = own.read_chunk(chunk);
         if (auto const* error = base::failure_of(read)) {
@@ -337,6 +343,11 @@
         if (base::value_of(read) == 0) {
             break;
         }
+        skipped += base::value_of(read);
+        if (skipped > max_skipped_body_bytes) {
+            this->close();
+            return http_failure{http_failure_kind::too_large, send_state::may_have_been_sent};
+        }
     }
     if (!own.parser().get().keep_alive()) {
         return failure_after_send(http::error::end_of_stream);
