Quarantine: the parts of prompts are known by service

Cause: evidence was kept by part alone, and a plain upstream answers any prompt. Class: evidence about one thing applied to another. Change: parts are named by service and part, for crashes, answers, verdicts and their records in the registry.

an_answer_of_another_service_does_not_clear_a_deadly_part failed before (503 for sound plain streams, and crashes) and passes.

--- a/linnetlane/router/host.h
+++ b/linnetlane/router/host.h
@@ -272,9 +272,10 @@
         auto const allowed = std::min(route->timeout, caller.timeout.value_or(route->timeout));
         auto cancelled = cancellation{};
         responder.on_client_disconnect([&] { cancelled.cancel(); });
-        auto context = request_context{this->host, responder, caller,   configuration,
-                                       *route,     *service,  arrived,  arrived + allowed,
-                                       cancelled,  {},        from_peer};
+        auto context = request_context{
+            this->host, responder, caller,    configuration,
+            *route,     *service,  arrived,   arrived + allowed,
+            cancelled,  {},        from_peer, routing::parts_at(*service, caller.shared_parts)};
         auto const resumes = route->resumable && caller.resumes;
         if (resumes) {
             context.required = this->recorder.find(caller, *service);
--- a/linnetlane/router/request_context.h
+++ b/linnetlane/router/request_context.h
@@ -10,6 +10,7 @@
 #include <optional>
 #include <utility>
 #include <variant>
+#include <vector>
 
 #include "linnetlane/base/ids.h"
 #include "linnetlane/base/time.h"
@@ -101,6 +102,9 @@
     std::optional<base::software_version> required;
     // Another host sent the request, so that it is not sent on to a third one.
     bool from_peer = false;
+    // The parts of the prompt that other requests may share, as the service's quarantine knows
+    // them.
+    std::vector<base::prompt_part_id> prompt_parts = {};
 
     [[nodiscard]] auto state() const -> service_state& {
         return this->host.view.service(this->service);
@@ -122,7 +126,7 @@
     // Returns how much longer a part of the prompt is kept away from upstreams, if one is.
     [[nodiscard]] auto quarantined_for(base::time_point now) const
         -> std::optional<base::duration> {
-        auto const until = this->host.view.quarantine.blocked_until(this->caller.shared_parts, now);
+        auto const until = this->host.view.quarantine.blocked_until(this->prompt_parts, now);
         return until ? std::optional{*until - now} : std::nullopt;
     }
     // Returns whether a further upstream may be tried after so many have broken off before the
@@ -130,18 +134,18 @@
     // way.
     [[nodiscard]] auto may_outlive(std::size_t ends_before_answer) const -> bool {
         constexpr auto max_ends = std::size_t{2};
-        return ends_before_answer < max_ends || this->caller.shared_parts.empty();
+        return ends_before_answer < max_ends || this->prompt_parts.empty();
     }
     // Records that an answer to the prompt began.
     auto note_answer_began() const -> void {
         auto const now = base::monotonic_clock::now();
         auto& view = this->host.view;
-        view.learn(view.quarantine.answer_began(this->caller.shared_parts, now), now);
+        view.learn(view.quarantine.answer_began(this->prompt_parts, now), now);
     }
     // Returns the shared parts of the prompt as one name, separated by commas, for the log.
     [[nodiscard]] auto joined_parts() const -> base::prompt_part_id {
         auto joined = base::prompt_part_id{};
-        for (auto const& part : this->caller.shared_parts) {
+        for (auto const& part : this->prompt_parts) {
             joined.value += (joined.value.empty() ? "" : ",") + part.value;
         }
         return joined;
@@ -155,7 +159,7 @@
                              "upstream broke off before the answer began",
                              {this->caller.id, this->service, upstream,
                               telemetry::field::named("prompt_parts", this->joined_parts())});
-        view.learn(view.quarantine.upstream_ended(this->caller.shared_parts, upstream, now), now);
+        view.learn(view.quarantine.upstream_ended(this->prompt_parts, upstream, now), now);
     }
     auto note_answer() const -> void {
         this->host.view.isolation.note_answer();
--- a/linnetlane/routing/prompt_quarantine.cpp
+++ b/linnetlane/routing/prompt_quarantine.cpp
@@ -8,6 +8,15 @@
 
 namespace linnetlane::routing {
 
+auto parts_at(base::service_id const& service, std::vector<base::prompt_part_id> const& parts)
+    -> std::vector<base::prompt_part_id> {
+    auto named = std::vector<base::prompt_part_id>{};
+    for (auto const& part : parts) {
+        named.push_back(base::prompt_part_id{fmt::format("{}/{}", service.value, part.value)});
+    }
+    return named;
+}
+
 auto prompt_quarantine::answer_began(std::vector<base::prompt_part_id> const& parts,
                                      base::time_point now) -> std::vector<shared_fact> {
     auto facts = std::vector<shared_fact>{};
--- a/linnetlane/routing/prompt_quarantine.h
+++ b/linnetlane/routing/prompt_quarantine.h
@@ -31,6 +31,12 @@
 
 namespace linnetlane::routing {
 
+// Returns the names under which a service's quarantine knows the parts of prompts. Upstreams of
+// another service may answer the same parts without harm.
+[[nodiscard]] auto parts_at(base::service_id const& service,
+                            std::vector<base::prompt_part_id> const& parts)
+    -> std::vector<base::prompt_part_id>;
+
 // Not thread-safe; must be used on one worker only.
 class prompt_quarantine {
 public:
--- a/linnetlane/routing/upstream_rate_limits.h
+++ b/linnetlane/routing/upstream_rate_limits.h
@@ -26,8 +26,8 @@
 // Not thread-safe; must be used on one worker only. There is one instance for each service.
 class upstream_rate_limits {
 public:
-    // The share of a limit that hosts use. The rest covers the random phases, and hosts that don't know
-    // the limit yet.
+    // The share of a limit that hosts use. The rest covers the random phases, and hosts that don't
+    // know the limit yet.
     static constexpr auto usable_share = 0.7;
     // How long an unused point in time can be used.
     static constexpr auto point_validity = std::chrono::milliseconds{750};
