Router: a leaving host doesn't tell its followers that the registry is away

Cause: the answer of a leaving host looked like that of a host in an outage of the registry.

Change: a leaving host answers its followers 503, also those that wait, so that they count it as lost.

users_platform_router_test: a_leaving_host_does_not_tell_its_followers_that_the_store_is_away failed before (200) and passes.

--- a/linnetlane/router/host.h
+++ b/linnetlane/router/host.h
@@ -107,6 +107,8 @@
                           static_cast<std::int64_t>(this->callers->requests_under_way())}});
         this->callers->close_after_responses();
         this->view.feed.invalidate();
+        // Followers that wait are answered at once.
+        this->view.feed.set_lost_registry(true);
         this->membership.leave();
         runtime::sleep_until(asked_at + balancer_drain_time);
         this->callers->stop_accepting();
@@ -201,6 +203,10 @@
         } else {
             response.body = encode(this->answer_follower(*question));
         }
+        if (this->leaving) {
+            // The follower looks for another host or reads the registry itself.
+            response = runtime::http_response{503, {}, {}};
+        }
         // If the peer has disconnected, it asks another host or the registry.
         static_cast<void>(responder.send(response));
     }
@@ -213,8 +219,7 @@
         auto const now = base::monotonic_clock::now();
         auto relays = this->view.relays.order_for_followers(now);
         if (auto const* const failure = base::failure_of(answer)) {
-            auto const follows_another =
-                !this->view.reads_registry && !relays.empty() && !this->leaving;
+            auto const follows_another = !this->view.reads_registry && !relays.empty();
             if (*failure != registry_failure::unavailable || !follows_another) {
                 return answer;
             }
