--- a/linnetlane/routing/generation_pool.cpp
+++ b/linnetlane/routing/generation_pool.cpp
@@ -65,7 +65,7 @@
     auto const usual = this->usual_others(engine_stage::decode, now);
     for (auto const& [id, one] : this->members) {
         ++index;
-        if (one.leaving || one.stage != engine_stage::decode || this->is_blocked(id, now) ||
+        if (one.leaving || one.stage != engine_stage::decode || this->pauses.is_blocked(id, now) ||
             (required && one.software != *required)) {
             continue;
         }
@@ -96,7 +96,7 @@
     for (auto const& [id, one] : this->members) {
         ++index;
         if (one.leaving || one.stage != engine_stage::prefill || tried.contains(id) ||
-            this->is_blocked(id, now)) {
+            this->pauses.is_blocked(id, now)) {
             continue;
         }
         auto const same_data_centre = decode_engine != this->members.end() &&
@@ -120,7 +120,8 @@
     auto const usual = this->usual_others(engine_stage::prefill, now);
     for (auto const& [id, one] : this->members) {
         if (one.leaving || one.stage != engine_stage::prefill || tried.contains(id) ||
-            this->is_blocked(id, now) || this->is_last_resort(one, now) || now < one.full_until) {
+            this->pauses.is_blocked(id, now) || this->is_last_resort(one, now) ||
+            now < one.full_until) {
             continue;
         }
         auto const tokens = this->load_of(one, usual, now);
@@ -133,7 +134,7 @@
 auto generation_pool::prefill_rate(base::time_point now) const -> double {
     auto const usable = std::ranges::count_if(this->members, [&](auto const& each) {
         return each.second.stage == engine_stage::prefill && !each.second.leaving &&
-               !this->is_blocked(each.first, now) && !this->is_last_resort(each.second, now);
+               !this->pauses.is_blocked(each.first, now) && !this->is_last_resort(each.second, now);
     });
     auto const seconds = this->seconds_per_token * this->mean_prompt;
     return seconds > 0 ? static_cast<double>(usable) / seconds : 0;
@@ -173,7 +174,7 @@
     auto least = std::map<engine_stage, base::duration>{};
     for (auto const& [id, one] : this->members) {
         if (!one.leaving) {
-            auto const left = this->blocked_for(id, now);
+            auto const left = this->pauses.blocked_for(id, now);
             auto& known = least.try_emplace(one.stage, left).first->second;
             known = std::min(known, left);
         }
--- a/linnetlane/routing/generation_pool.h
+++ b/linnetlane/routing/generation_pool.h
@@ -8,7 +8,6 @@
 #ifndef LINNETLANE_ROUTING_GENERATION_POOL_H_
 #define LINNETLANE_ROUTING_GENERATION_POOL_H_
 
-#include <algorithm>
 #include <cstddef>
 #include <map>
 #include <optional>
@@ -22,7 +21,6 @@
 #include "linnetlane/routing/load_report.h"
 #include "linnetlane/routing/upstream_health.h"
 #include "linnetlane/routing/upstream_pauses.h"
-#include "linnetlane/routing/upstream_rate_limits.h"
 #include "linnetlane/routing/upstream_set.h"
 
 namespace linnetlane::routing {
@@ -69,7 +67,7 @@
         : reachability{&shared_reachability} {}
     // Keeps to the limits in `shared`, which must outlive the pool.
     auto set_rate_limits(upstream_rate_limits const& shared) -> void {
-        this->rate_limits = &shared;
+        this->pauses.set_rate_limits(shared);
     }
 
     // Replaces the engines of the service. Ignores records without a stage.
@@ -172,23 +170,9 @@
     // current report; 0 if none has one.
     [[nodiscard]] auto usual_others(engine_stage stage, base::time_point now) const -> double;
 
-    // Returns how much longer nothing may be sent to the upstream.
-    [[nodiscard]] auto blocked_for(base::upstream_id const& id, base::time_point now) const
-        -> base::duration {
-        auto const pause = this->pauses.time_left(id, now);
-        return this->rate_limits == nullptr
-                   ? pause
-                   : std::max(pause, this->rate_limits->time_left(id, now));
-    }
-    [[nodiscard]] auto is_blocked(base::upstream_id const& id, base::time_point now) const -> bool {
-        return this->blocked_for(id, now) > base::duration::zero();
-    }
-
     data_centre_reachability* reachability;
     std::map<base::upstream_id, member> members;
     upstream_pauses pauses;
-    // Null if there are none.
-    upstream_rate_limits const* rate_limits = nullptr;
     // The moving means of tokens per request and of tokens per prompt. They convert request counts
     // of other hosts into tokens.
     double mean_tokens = 0;
--- a/linnetlane/routing/plain_pool.cpp
+++ b/linnetlane/routing/plain_pool.cpp
@@ -41,7 +41,7 @@
     auto index = std::size_t{0};
     for (auto const& [id, one] : this->members) {
         ++index;
-        if (one.leaving || tried.contains(id) || this->is_blocked(id, now) ||
+        if (one.leaving || tried.contains(id) || this->pauses.is_blocked(id, now) ||
             (required && one.software != *required)) {
             continue;
         }
@@ -62,7 +62,7 @@
     auto least = std::optional<base::duration>{};
     for (auto const& [id, one] : this->members) {
         if (!one.leaving) {
-            auto const left = this->blocked_for(id, now);
+            auto const left = this->pauses.blocked_for(id, now);
             least = std::min(least.value_or(left), left);
         }
     }
--- a/linnetlane/routing/plain_pool.h
+++ b/linnetlane/routing/plain_pool.h
@@ -6,7 +6,6 @@
 #ifndef LINNETLANE_ROUTING_PLAIN_POOL_H_
 #define LINNETLANE_ROUTING_PLAIN_POOL_H_
 
-#include <algorithm>
 #include <cstddef>
 #include <map>
 #include <optional>
@@ -19,7 +18,6 @@
 #include "linnetlane/routing/load_report.h"
 #include "linnetlane/routing/upstream_health.h"
 #include "linnetlane/routing/upstream_pauses.h"
-#include "linnetlane/routing/upstream_rate_limits.h"
 #include "linnetlane/routing/upstream_set.h"
 
 namespace linnetlane::routing {
@@ -45,7 +43,7 @@
         : reachability{&shared_reachability} {}
     // Keeps to the limits in `shared`, which must outlive the pool.
     auto set_rate_limits(upstream_rate_limits const& shared) -> void {
-        this->rate_limits = &shared;
+        this->pauses.set_rate_limits(shared);
     }
 
     // Replaces the upstreams of the service. Call `forget` first for upstreams that have restarted.
@@ -93,23 +91,9 @@
     // Returns the expected time of a request that is sent to the upstream now.
     [[nodiscard]] auto expected_seconds(member const& one, base::time_point now) const -> double;
 
-    // Returns how much longer nothing may be sent to the upstream.
-    [[nodiscard]] auto blocked_for(base::upstream_id const& id, base::time_point now) const
-        -> base::duration {
-        auto const pause = this->pauses.time_left(id, now);
-        return this->rate_limits == nullptr
-                   ? pause
-                   : std::max(pause, this->rate_limits->time_left(id, now));
-    }
-    [[nodiscard]] auto is_blocked(base::upstream_id const& id, base::time_point now) const -> bool {
-        return this->blocked_for(id, now) > base::duration::zero();
-    }
-
     data_centre_reachability* reachability;
     std::map<base::upstream_id, member> members;
     upstream_pauses pauses;
-    // Null if there are none.
-    upstream_rate_limits const* rate_limits = nullptr;
     // The moving mean over all upstreams, for those that have not answered yet, in seconds.
     double overall_mean_seconds = 0;
 };
