--- a/linnetlane/router/generation_forwarder.h
+++ b/linnetlane/router/generation_forwarder.h
@@ -544,7 +544,7 @@
     [[nodiscard]] auto may_run_again() const -> bool {
         return this->context.route.semantics == routing::execution_semantics::idempotent &&
                this->runs < this->context.route.max_attempts &&
-               this->context.may_outlive(this->ends_before_answer);
+               this->context.allows_another_upstream(this->ends_before_answer);
     }
 
     // ---- End of the request ----
--- a/linnetlane/router/plain_forwarder.h
+++ b/linnetlane/router/plain_forwarder.h
@@ -261,7 +261,7 @@
         this->last_reason = reason;
         auto const may_repeat =
             this->context.route.semantics == routing::execution_semantics::idempotent &&
-            this->context.may_outlive(this->ends_before_answer);
+            this->context.allows_another_upstream(this->ends_before_answer);
         if (may_repeat) {
             return std::nullopt;
         }
--- a/linnetlane/router/request_context.h
+++ b/linnetlane/router/request_context.h
@@ -132,7 +132,7 @@
     // Returns whether a further upstream may be tried after so many have broken off before the
     // answer began. If the prompt can be the cause, a further one would probably end in the same
     // way.
-    [[nodiscard]] auto may_outlive(std::size_t ends_before_answer) const -> bool {
+    [[nodiscard]] auto allows_another_upstream(std::size_t ends_before_answer) const -> bool {
         constexpr auto max_ends = std::size_t{2};
         return ends_before_answer < max_ends || this->prompt_parts.empty();
     }
