Quarantine: whole requests are a subject beside the parts of prompts

Cause: what hosts know a request by. A repeat has a new id, and the quarantine knew parts of prompts only, so that each host and each attempt met the request for the first time. Ruled out as causes, though they multiply it: retries within an attempt and callers that come again.

--- a/linnetlane/base/ids.h
+++ b/linnetlane/base/ids.h
@@ -63,6 +63,8 @@
 using idempotency_key = basic_name<struct idempotency_key_tag>;
 // A part of a prompt that several requests may share, identified by its content.
 using prompt_part_id = basic_name<struct prompt_part_tag>;
+// Identifies requests with the same method, path, caller and body.
+using request_digest = basic_name<struct request_digest_tag>;
 // A group of one service's upstreams in one data centre that share a keeper.
 using cell_id = basic_name<struct cell_tag>;
 
--- a/linnetlane/router/fact_publisher.h
+++ b/linnetlane/router/fact_publisher.h
@@ -7,7 +7,9 @@
 #ifndef LINNETLANE_ROUTER_FACT_PUBLISHER_H_
 #define LINNETLANE_ROUTER_FACT_PUBLISHER_H_
 
+#include <algorithm>
 #include <chrono>
+#include <cstddef>
 #include <map>
 #include <utility>
 
@@ -74,35 +76,47 @@
         }
     }
 
-    // Logs the parts of prompts whose quarantine began or ended.
+    // Logs the subjects whose quarantine began or ended.
     auto log_quarantines(base::time_point now) -> void {
         auto current = this->host.view.quarantine.quarantined(now);
-        for (auto const& [part, since] : current) {
-            if (!this->quarantined.contains(part)) {
+        for (auto const& [subject, since] : current) {
+            if (!this->quarantined.contains(subject)) {
                 this->host.log.write(
                     telemetry::log_level::warning,
-                    "prompt part quarantined: upstreams end under it",
-                    {telemetry::field::named("part", part), {"decided_ago", now - since}});
+                    routing::is_whole_request(subject)
+                        ? telemetry::literal{"request quarantined: upstreams end under it"}
+                        : telemetry::literal{"prompt part quarantined: upstreams end under it"},
+                    {field_for(subject), {"decided_ago", now - since}});
             }
         }
-        for (auto const& [part, since] : this->quarantined) {
-            if (!current.contains(part)) {
-                this->host.log.write(
-                    telemetry::log_level::warning, "quarantine of a prompt part ended",
-                    {telemetry::field::named("part", part), {"lasted", now - since}});
+        for (auto const& [subject, since] : this->quarantined) {
+            if (!current.contains(subject)) {
+                this->host.log.write(telemetry::log_level::warning,
+                                     routing::is_whole_request(subject)
+                                         ? telemetry::literal{"quarantine of a request ended"}
+                                         : telemetry::literal{"quarantine of a prompt part ended"},
+                                     {field_for(subject), {"lasted", now - since}});
             }
         }
         if (current.size() != this->quarantined.size()) {
-            this->host.metrics.set_quarantined(current.size());
+            auto const requests = static_cast<std::size_t>(std::ranges::count_if(
+                current, [](auto const& each) { return routing::is_whole_request(each.first); }));
+            this->host.metrics.set_quarantined(current.size() - requests, requests);
         }
         this->quarantined = std::move(current);
     }
 
+    [[nodiscard]] static auto field_for(routing::quarantine_subject const& subject)
+        -> telemetry::field {
+        return routing::is_whole_request(subject) ? telemetry::field::named("subject", subject)
+                                                  : telemetry::field::named("part", subject);
+    }
+
     host_context const& host;
     routing::fact_position published;
     base::time_point next_full = base::time_point::min();
     std::map<base::host_id, base::time_point> declined_until;
-    std::map<base::prompt_part_id, base::time_point> quarantined;
+    std::map<routing::quarantine_subject, base::time_point> quarantined;
 };
 
 }  // namespace linnetlane::router
--- a/linnetlane/router/generation_forwarder.h
+++ b/linnetlane/router/generation_forwarder.h
@@ -81,7 +81,7 @@
         if (base::monotonic_clock::now() >= this->context.answer_by) {
             return attempt_result::timed_out;
         }
-        if (this->context.quarantined_for(base::monotonic_clock::now())) {
+        if (this->context.quarantine_refusal(base::monotonic_clock::now())) {
             return attempt_result::quarantined;
         }
         if (this->context.state().generation.paused_for(base::monotonic_clock::now()) >
@@ -315,7 +315,12 @@
         if (this->prefills++ == 0) {
             return true;
         }
-        if (!this->prefill_is_timely(tried)) {
+        if (this->context.quarantine_refusal(now)) {
+            this->prefill_failure = attempt_result::quarantined;
+            return false;
+        }
+        if (!this->context.allows_another_upstream(this->ends_before_answer) ||
+            !this->prefill_is_timely(tried)) {
             this->prefill_failure = attempt_result::no_capacity;
             return false;
         }
@@ -366,10 +371,13 @@
         if (opened == nullptr) {
             if (!this->context.cancelled.cancelled()) {
                 this->reached_none = true;
+                auto const failure = std::get<exchange_failure_kind>(result);
                 this->prompt_may_have_arrived =
-                    this->prompt_may_have_arrived ||
-                    std::get<exchange_failure_kind>(result) != exchange_failure_kind::not_sent;
+                    this->prompt_may_have_arrived || failure != exchange_failure_kind::not_sent;
                 pool.note_outcome(engine.id, routing::exchange_outcome::transport_failure, now);
+                if (failure == exchange_failure_kind::unknown) {
+                    this->note_upstream_ended(engine.id, false);
+                }
             }
             return std::nullopt;
         }
@@ -380,7 +388,12 @@
             pool.note_load(engine.id, *opened->head.load, now);
         }
         auto const body = opened->stream.read_all(max_engine_answer_bytes, deadline);
-        auto const whole = base::failure_of(body) == nullptr && opened->head.status == 200;
+        auto const* const broken = base::failure_of(body);
+        if (broken != nullptr && broken->kind != runtime::http_failure_kind::timed_out &&
+            !this->context.cancelled.cancelled()) {
+            this->note_upstream_ended(engine.id, false);
+        }
+        auto const whole = broken == nullptr && opened->head.status == 200;
         auto const made = whole ? Wire::read_prefill_result(base::value_of(body)) : std::nullopt;
         if (opened->head.other_instance) {
             pool.note_replaced(engine.id, now);
@@ -411,7 +424,7 @@
             this->discard(source);
             return attempt_result::retry;
         }
-        if (this->context.quarantined_for(now)) {
+        if (this->context.quarantine_refusal(now)) {
             this->release(reserved);
             this->discard(source);
             return attempt_result::quarantined;
@@ -460,7 +473,7 @@
         if (failure == exchange_failure_kind::timed_out) {
             return attempt_result::timed_out;
         }
-        this->note_upstream_ended(reserved.engine.id);
+        this->note_upstream_ended(reserved.engine.id, false);
         return this->may_run_again() ? attempt_result::retry : attempt_result::outcome_unknown;
     }
 
@@ -518,9 +531,7 @@
                 break;
         }
         this->log_step(reserved.engine.id, "stream is incomplete");
-        if (!this->relay.answer_began()) {
-            this->note_upstream_ended(reserved.engine.id);
-        }
+        this->note_upstream_ended(reserved.engine.id, this->relay.answer_began());
         return this->may_run_again() ? attempt_result::retry : attempt_result::interrupted;
     }
 
@@ -536,9 +547,9 @@
         return sent ? attempt_result::forwarded : attempt_result::caller_left;
     }
 
-    auto note_upstream_ended(base::upstream_id const& engine) -> void {
-        ++this->ends_before_answer;
-        this->context.note_upstream_ended(engine);
+    auto note_upstream_ended(base::upstream_id const& engine, bool answer_began) -> void {
+        this->ends_before_answer += answer_began ? 0 : 1;
+        this->context.note_upstream_ended(engine, answer_began);
     }
 
     [[nodiscard]] auto may_run_again() const -> bool {
@@ -553,6 +564,7 @@
     // the other host's prefill is a further one and uses the retry budget.
     auto may_be_sent_by_peer() -> bool {
         return this->reached_none && !this->may_have_run && !this->context.from_peer &&
+               this->context.allows_another_upstream(this->ends_before_answer) &&
                (!this->prompt_may_have_arrived ||
                 this->context.host.view.try_retry(this->context.service,
                                                   base::monotonic_clock::now()));
@@ -602,9 +614,10 @@
             reason != refusal_reason::timed_out && reason != refusal_reason::outcome_unknown;
         if (claims_not_run && this->may_have_run) {
             refused.reason = refusal_reason::outcome_unknown;
-        } else if (reason == refusal_reason::prompt_quarantined) {
-            refused = quarantine_refusal(this->context.quarantined_for(base::monotonic_clock::now())
-                                             .value_or(base::duration::zero()));
+        } else if (auto const kept_away =
+                       this->context.quarantine_refusal(base::monotonic_clock::now());
+                   claims_not_run && kept_away) {
+            refused = *kept_away;
         } else if (claims_not_run) {
             auto const paused =
                 this->context.state().generation.paused_for(base::monotonic_clock::now());
@@ -665,7 +678,7 @@
     std::size_t decodes = 0;
     // Decodes that the engine ran or may have run.
     std::size_t runs = 0;
-    // Decodes that the engine broke off before the first event.
+    // Prefills, and decodes before their first event, that the engine broke off.
     std::size_t ends_before_answer = 0;
     bool may_have_run = false;
     // The last step failed because the engine could not be reached.
--- a/linnetlane/router/host.h
+++ b/linnetlane/router/host.h
@@ -22,6 +22,7 @@
 #include "linnetlane/router/plain_forwarder.h"
 #include "linnetlane/router/registry_follower.h"
 #include "linnetlane/router/request_context.h"
+#include "linnetlane/router/request_digest.h"
 #include "linnetlane/router/stream_origin_recorder.h"
 #include "linnetlane/runtime/worker_pool.h"
 
@@ -278,9 +279,12 @@
         auto cancelled = cancellation{};
         responder.on_client_disconnect([&] { cancelled.cancel(); });
         auto context = request_context{
-            this->host, responder, caller,    configuration,
-            *route,     *service,  arrived,   arrived + allowed,
-            cancelled,  {},        from_peer, routing::parts_at(*service, caller.shared_parts)};
+            this->host, responder,
+            caller,     configuration,
+            *route,     *service,
+            arrived,    arrived + allowed,
+            cancelled,  {},
+            from_peer,  routing::subjects_of(*service, caller.shared_parts, digest_of(caller))};
         auto const resumes = route->resumable && caller.resumes;
         if (resumes) {
             context.required = this->recorder.find(caller, *service);
@@ -299,8 +303,8 @@
             context.state().retries.note_request(context.arrived);
         }
         auto const generates = context.route.generates && context.caller.size.has_value();
-        if (auto const left = context.quarantined_for(context.arrived)) {
-            auto const end = refuse<Wire>(context, quarantine_refusal(*left));
+        if (auto const refused = context.quarantine_refusal(context.arrived)) {
+            auto const end = refuse<Wire>(context, *refused);
             this->note_end(context, generates ? request_kind::generation : request_kind::plain,
                            end);
             return;
@@ -396,6 +400,8 @@
                 return "refused: origin of the stream is unknown";
             case refusal_reason::prompt_quarantined:
                 return "refused: upstreams end under a part of the prompt";
+            case refusal_reason::request_quarantined:
+                return "refused: upstreams end under the request";
             case refusal_reason::leaving:
                 break;
         }
--- a/linnetlane/router/host_membership.h
+++ b/linnetlane/router/host_membership.h
@@ -189,26 +189,26 @@
         this->record_quarantines(listed);
     }
 
-    // Records the quarantined parts in the registry, for hosts that start after all others were
+    // Records what is quarantined in the registry, for hosts that start after all others were
     // lost.
     auto record_quarantines(host_listing const& listed) -> void {
         auto const now = base::monotonic_clock::now();
         std::erase_if(this->recorded_until, [&](auto const& each) { return each.second <= now; });
-        for (auto const& part : this->host.view.quarantine.convicted(now)) {
+        for (auto const& subject : this->host.view.quarantine.convicted(now)) {
             auto const is_listed =
-                std::ranges::find(listed.quarantined, part) != listed.quarantined.end();
-            if (is_listed || this->recorded_until.contains(part)) {
+                std::ranges::find(listed.quarantined, subject) != listed.quarantined.end();
+            if (is_listed || this->recorded_until.contains(subject)) {
                 continue;
             }
             // The list may be stale.
-            this->recorded_until[part] = now + record_interval;
+            this->recorded_until[subject] = now + record_interval;
             auto const recorded = this->registry.record_quarantine(
-                part, routing::fact_board::lifetime(routing::fact_kind::prompt_quarantined),
+                subject, routing::fact_board::lifetime(routing::fact_kind::quarantined),
                 base::monotonic_clock::now() + call_timeout);
             if (base::failure_of(recorded) != nullptr) {
-                this->recorded_until.erase(part);
+                this->recorded_until.erase(subject);
                 this->host.log.write(telemetry::log_level::warning, "quarantine not recorded",
-                                     {telemetry::field::named("part", part)});
+                                     {telemetry::field::named("part", subject)});
             }
         }
     }
@@ -492,9 +492,9 @@
     // after a restoration, of which a process that has just started doesn't know.
     base::time_point claims_uncertain_until = started_at + lease_ttl + takeover_margin;
     bool leaving = false;
-    // Parts of prompts whose quarantine this host recorded, and when their absence from the list
+    // The subjects whose quarantine this host recorded, and when their absence from the list
     // counts again.
-    std::map<base::prompt_part_id, base::time_point> recorded_until;
+    std::map<routing::quarantine_subject, base::time_point> recorded_until;
 };
 
 }  // namespace linnetlane::router
--- a/linnetlane/router/messages.h
+++ b/linnetlane/router/messages.h
@@ -22,6 +22,7 @@
 #include "linnetlane/routing/configuration.h"
 #include "linnetlane/routing/generation_pool.h"
 #include "linnetlane/routing/load_report.h"
+#include "linnetlane/routing/request_quarantine.h"
 #include "linnetlane/routing/upstream_set.h"
 #include "linnetlane/runtime/http.h"
 
@@ -44,6 +45,9 @@
     std::optional<routing::generation_size> size;
     // The parts of the prompt that other requests may share, in order; empty if there are none.
     std::vector<base::prompt_part_id> shared_parts;
+    // The fields of the request that tell callers apart; requests with equal ones are of one
+    // caller.
+    std::string caller;
     // The request to forward: method, target and body unchanged, with the fields to pass on.
     runtime::http_request forwarded;
 };
@@ -65,6 +69,8 @@
     unknown_origin,
     // The prompt has a part under which upstreams end.
     prompt_quarantined,
+    // Upstreams end under the request.
+    request_quarantined,
     // The host is shutting down.
     leaving,
 };
@@ -266,8 +272,8 @@
     std::vector<registered_host> hosts;
     // The host that is the order giver, if any.
     std::optional<base::host_id> order_giver;
-    // The parts of prompts that hosts have quarantined.
-    std::vector<base::prompt_part_id> quarantined;
+    // What hosts have quarantined.
+    std::vector<routing::quarantine_subject> quarantined;
 };
 
 // Whether a read of the registry may return stale data, at a lower cost.
@@ -280,7 +286,7 @@
                                    registered_host const& self, base::host_id const& host,
                                    registry_lease lease, base::caller_request_id const& request,
                                    std::vector<stream_origin> const& streams,
-                                   base::prompt_part_id const& part) {
+                                   routing::quarantine_subject const& subject) {
     {
         registry.read_configuration(deadline)
         } -> std::same_as<base::result<configuration_reading, registry_failure>>;
@@ -318,9 +324,9 @@
     {
         registry.record_streams(streams, lease, deadline)
         } -> std::same_as<base::result<base::nothing, registry_failure>>;
-    // Records for `wait` that a part of prompts is quarantined, unless that is recorded already.
+    // Records for `wait` that the subject is quarantined, unless that is recorded already.
     {
-        registry.record_quarantine(part, wait, deadline)
+        registry.record_quarantine(subject, wait, deadline)
         } -> std::same_as<base::result<base::nothing, registry_failure>>;
     // Returns the recorded version of the stream that answered `request`; empty if there is none.
     {
--- a/linnetlane/router/peer_codec.cpp
+++ b/linnetlane/router/peer_codec.cpp
@@ -245,7 +245,7 @@
     auto facts = std::vector<aged_fact>{};
     for (auto& each : in) {
         auto const known =
-            each.kind >= static_cast<std::int32_t>(routing::fact_kind::prompt_crash) &&
+            each.kind >= static_cast<std::int32_t>(routing::fact_kind::upstream_crash) &&
             each.kind <= static_cast<std::int32_t>(routing::fact_kind::upstream_limit);
         if (!known || each.subject.empty() || !std::isfinite(each.amount)) {
             continue;
--- a/linnetlane/router/peers_test.cpp
+++ b/linnetlane/router/peers_test.cpp
@@ -100,13 +100,12 @@
     auto facts = std::vector<aged_fact>{};
     auto const count = *rc::gen::inRange(0, 4);
     for (auto index = 0; index < count; ++index) {
-        facts.push_back(
-            {{*rc::gen::element(
-                  routing::fact_kind::prompt_crash, routing::fact_kind::prompt_answered,
-                  routing::fact_kind::prompt_quarantined, routing::fact_kind::upstream_limit),
-              "s" + std::to_string(index), *rc::gen::element<std::string>("", "u1#2")},
-             *rc::gen::inRange(-10, 100) / 10.0,
-             any_span()});
+        facts.push_back({{*rc::gen::element(
+                              routing::fact_kind::upstream_crash, routing::fact_kind::answered,
+                              routing::fact_kind::quarantined, routing::fact_kind::upstream_limit),
+                          "s" + std::to_string(index), *rc::gen::element<std::string>("", "u1#2")},
+                         *rc::gen::inRange(-10, 100) / 10.0,
+                         any_span()});
     }
     return facts;
 }
--- a/linnetlane/router/plain_forwarder.h
+++ b/linnetlane/router/plain_forwarder.h
@@ -45,8 +45,8 @@
             if (now >= this->context.answer_by) {
                 return this->give_up(refusal_reason::timed_out);
             }
-            if (auto const left = this->context.quarantined_for(now)) {
-                return this->give_up(refusal_reason::prompt_quarantined);
+            if (auto const refused = this->context.quarantine_refusal(now)) {
+                return this->give_up(refused->reason);
             }
             auto const target = this->is_isolated(now) ? std::nullopt : this->next_target(now);
             if (!target) {
@@ -164,13 +164,13 @@
         if (failure == exchange_failure_kind::timed_out) {
             return this->give_up(refusal_reason::timed_out);
         }
-        this->note_upstream_ended(target);
+        this->note_upstream_ended(target, false);
         return this->retry_or_give_up(refusal_reason::outcome_unknown);
     }
 
-    auto note_upstream_ended(routing::upstream_record const& target) -> void {
-        ++this->ends_before_answer;
-        this->context.note_upstream_ended(target.id);
+    auto note_upstream_ended(routing::upstream_record const& target, bool answer_began) -> void {
+        this->ends_before_answer += answer_began ? 0 : 1;
+        this->context.note_upstream_ended(target.id, answer_began);
     }
 
     auto after_head(routing::upstream_record const& target, opened_answer& opened,
@@ -214,11 +214,15 @@
             if (failed->kind == runtime::http_failure_kind::timed_out) {
                 return this->give_up(refusal_reason::timed_out);
             }
-            this->note_upstream_ended(target);
+            // The caller receives nothing of an answer that isn't whole.
+            this->note_upstream_ended(target, false);
             return this->retry_or_give_up(refusal_reason::outcome_unknown);
         }
-        this->context.note_answer_began();
         auto const failed_there = opened.head.status >= 500;
+        if (!failed_there) {
+            this->context.note_answer_began();
+            this->context.note_answer_complete();
+        }
         this->note(target,
                    failed_there ? routing::exchange_outcome::failed_answer
                                 : routing::exchange_outcome::answered,
@@ -249,8 +253,8 @@
         if (relayed == relay_outcome::caller_left) {
             return request_result{request_outcome::caller_left, this->relay.status()};
         }
-        if (relayed == relay_outcome::interrupted && !this->relay.answer_began()) {
-            this->note_upstream_ended(target);
+        if (relayed == relay_outcome::interrupted) {
+            this->note_upstream_ended(target, this->relay.answer_began());
         }
         this->context.responder.abort();
         return request_result{request_outcome::cut_off, this->relay.status()};
@@ -276,9 +280,10 @@
         auto const outcome_is_unknown = this->may_have_run && reason != refusal_reason::timed_out;
         if (outcome_is_unknown) {
             refused.reason = refusal_reason::outcome_unknown;
-        } else if (reason == refusal_reason::prompt_quarantined) {
-            refused = quarantine_refusal(this->context.quarantined_for(base::monotonic_clock::now())
-                                             .value_or(base::duration::zero()));
+        } else if (auto const kept_away =
+                       this->context.quarantine_refusal(base::monotonic_clock::now());
+                   kept_away && reason != refusal_reason::timed_out) {
+            refused = *kept_away;
         } else if (reason != refusal_reason::timed_out) {
             auto const paused =
                 this->context.state().plain.paused_for(base::monotonic_clock::now());
--- a/linnetlane/router/request_context.h
+++ b/linnetlane/router/request_context.h
@@ -102,9 +102,8 @@
     std::optional<base::software_version> required;
     // Another host sent the request, so that it is not sent on to a third one.
     bool from_peer = false;
-    // The parts of the prompt that other requests may share, as the service's quarantine knows
-    // them.
-    std::vector<base::prompt_part_id> prompt_parts = {};
+    // What the quarantine knows the request by.
+    routing::request_subjects subjects = {};
 
     [[nodiscard]] auto state() const -> service_state& {
         return this->host.view.service(this->service);
@@ -123,43 +122,51 @@
         this->host.view.isolation.note_sent(to, now);
         this->state().isolation.note_sent(to, now);
     }
-    // Returns how much longer a part of the prompt is kept away from upstreams, if one is.
-    [[nodiscard]] auto quarantined_for(base::time_point now) const
-        -> std::optional<base::duration> {
-        auto const until = this->host.view.quarantine.blocked_until(this->prompt_parts, now);
-        return until ? std::optional{*until - now} : std::nullopt;
+    // Returns the refusal of a request that is kept away from upstreams, or has a part that is. The
+    // caller is told when it may be tried again.
+    [[nodiscard]] auto quarantine_refusal(base::time_point now) const -> std::optional<refusal> {
+        auto const found = this->host.view.quarantine.find(this->subjects, now);
+        if (!found) {
+            return std::nullopt;
+        }
+        return refusal{routing::is_whole_request(found->subject)
+                           ? refusal_reason::request_quarantined
+                           : refusal_reason::prompt_quarantined,
+                       found->until - now};
     }
     // Returns whether a further upstream may be tried after so many have broken off before the
-    // answer began. If the prompt can be the cause, a further one would probably end in the same
-    // way.
-    [[nodiscard]] auto allows_another_upstream(std::size_t ends_before_answer) const -> bool {
+    // answer began. If the request is the cause, a further one would end in the same way.
+    [[nodiscard]] static auto allows_another_upstream(std::size_t ends_before_answer) -> bool {
         constexpr auto max_ends = std::size_t{2};
-        return ends_before_answer < max_ends || this->prompt_parts.empty();
+        return ends_before_answer < max_ends;
     }
     // Records that an answer to the prompt began.
-    auto note_answer_began() const -> void {
-        auto const now = base::monotonic_clock::now();
-        auto& view = this->host.view;
-        view.learn(view.quarantine.answer_began(this->prompt_parts, now), now);
-    }
+    auto note_answer_began() const -> void { this->note_answered(this->subjects.parts); }
+    // Records that a whole answer was received.
+    auto note_answer_complete() const -> void { this->note_answered({this->subjects.whole}); }
     // Returns the shared parts of the prompt as one name, separated by commas, for the log.
     [[nodiscard]] auto joined_parts() const -> base::prompt_part_id {
         auto joined = base::prompt_part_id{};
-        for (auto const& part : this->prompt_parts) {
+        for (auto const& part : this->subjects.parts) {
             joined.value += (joined.value.empty() ? "" : ",") + part.value;
         }
         return joined;
     }
-    // Records that an upstream broke off the request before the answer began.
-    auto note_upstream_ended(base::upstream_id const& upstream) const -> void {
+    // Records that an upstream broke off the request, before or after the answer began.
+    auto note_upstream_ended(base::upstream_id const& upstream, bool answer_began) const -> void {
         auto const now = base::monotonic_clock::now();
         auto& view = this->host.view;
         this->host.metrics.count_upstream_ended();
         this->host.log.write(telemetry::log_level::info,
-                             "upstream broke off before the answer began",
+                             answer_began
+                                 ? telemetry::literal{"upstream broke off the answer"}
+                                 : telemetry::literal{"upstream broke off before the answer began"},
                              {this->caller.id, this->service, upstream,
+                              telemetry::field::named("subject", this->subjects.whole),
                               telemetry::field::named("prompt_parts", this->joined_parts())});
-        view.learn(view.quarantine.upstream_ended(this->prompt_parts, upstream, now), now);
+        auto const suspects =
+            answer_began ? std::vector{this->subjects.whole} : this->subjects.all();
+        view.learn(view.quarantine.upstream_ended(suspects, upstream, now), now);
     }
     auto note_answer() const -> void {
         this->host.view.isolation.note_answer();
@@ -173,6 +180,13 @@
         this->host.view.isolation.note_abandoned(to, now);
         this->state().isolation.note_abandoned(to, now);
     }
+
+private:
+    auto note_answered(std::vector<routing::quarantine_subject> const& answered) const -> void {
+        auto const now = base::monotonic_clock::now();
+        auto& view = this->host.view;
+        view.learn(view.quarantine.answered(answered, now), now);
+    }
 };
 
 // The result of a request, for metrics and the log.
@@ -298,12 +312,6 @@
 
 // ---- Answers to callers ----
 
-// Refuses a request whose prompt has a part under which upstreams end. The caller is told when the
-// part may be tried again.
-[[nodiscard]] inline auto quarantine_refusal(base::duration left) -> refusal {
-    return refusal{refusal_reason::prompt_quarantined, left};
-}
-
 // Answers the request with a refusal.
 template <router_wire Wire>
 auto refuse(request_context const& context, refusal const& refused) -> request_result {
--- a/linnetlane/router/router_metrics.cpp
+++ b/linnetlane/router/router_metrics.cpp
@@ -68,6 +68,8 @@
             return "timed_out";
         case refusal_reason::prompt_quarantined:
             return "prompt_quarantined";
+        case refusal_reason::request_quarantined:
+            return "request_quarantined";
         case refusal_reason::leaving:
             break;
     }
@@ -104,10 +106,12 @@
       upstreams{&gauge(*this->registry, "linnetlane_upstreams", "Upstreams known.")},
       configuration{&gauge(*this->registry, "linnetlane_configuration_version",
                            "The version of the configuration in force.")},
-      quarantined{&gauge(*this->registry, "linnetlane_quarantined_prompt_parts",
-                         "Parts of prompts that are kept away from upstreams.")},
+      quarantined_parts{&gauge(*this->registry, "linnetlane_quarantined_prompt_parts",
+                               "Parts of prompts that are kept away from upstreams.")},
+      quarantined_requests{&gauge(*this->registry, "linnetlane_quarantined_requests",
+                                  "Requests that are kept away from upstreams.")},
       upstreams_ended{&counters(*this->registry, "linnetlane_upstreams_ended_total",
-                                "Requests that an upstream broke off before the answer began.")
+                                "Requests that an upstream broke off.")
                            .Add({})} {}
 
 auto router_metrics::count_request(request_kind kind, request_outcome outcome, base::duration took)
@@ -157,8 +161,9 @@
     this->configuration->Set(static_cast<double>(version.value));
 }
 
-auto router_metrics::set_quarantined(std::size_t parts) -> void {
-    this->quarantined->Set(static_cast<double>(parts));
+auto router_metrics::set_quarantined(std::size_t prompt_parts, std::size_t whole_requests) -> void {
+    this->quarantined_parts->Set(static_cast<double>(prompt_parts));
+    this->quarantined_requests->Set(static_cast<double>(whole_requests));
 }
 
 auto router_metrics::count_upstream_ended() -> void {
--- a/linnetlane/router/router_metrics.h
+++ b/linnetlane/router/router_metrics.h
@@ -50,9 +50,9 @@
     auto count_registry_failure() -> void;
     auto set_upstreams(std::size_t count) -> void;
     auto set_configuration(routing::configuration_version version) -> void;
-    // Sets the number of parts of prompts that are kept away from upstreams.
-    auto set_quarantined(std::size_t parts) -> void;
-    // Counts an upstream that broke off a request before its answer began.
+    // Sets the numbers of parts of prompts and of whole requests that are kept away from upstreams.
+    auto set_quarantined(std::size_t prompt_parts, std::size_t whole_requests) -> void;
+    // Counts an upstream that broke off a request.
     auto count_upstream_ended() -> void;
 
     // Returns all metrics in the Prometheus text format.
@@ -72,7 +72,8 @@
     prometheus::Counter* registry_failures;
     prometheus::Gauge* upstreams;
     prometheus::Gauge* configuration;
-    prometheus::Gauge* quarantined;
+    prometheus::Gauge* quarantined_parts;
+    prometheus::Gauge* quarantined_requests;
     prometheus::Counter* upstreams_ended;
 };
 
--- a/linnetlane/router/routing_view.cpp
+++ b/linnetlane/router/routing_view.cpp
@@ -113,11 +113,11 @@
     }
 }
 
-auto routing_view::learn_quarantined(std::vector<base::prompt_part_id> const& parts,
+auto routing_view::learn_quarantined(std::vector<routing::quarantine_subject> const& subjects,
                                      base::time_point now) -> void {
-    for (auto const& part : parts) {
-        if (this->quarantine.is_unknown(part)) {
-            this->learn({{{routing::fact_kind::prompt_quarantined, part.value, {}}, 0, now}}, now);
+    for (auto const& subject : subjects) {
+        if (this->quarantine.is_unknown(subject)) {
+            this->learn({{{routing::fact_kind::quarantined, subject.value, {}}, 0, now}}, now);
         }
     }
 }
--- a/linnetlane/router/routing_view.h
+++ b/linnetlane/router/routing_view.h
@@ -27,7 +27,7 @@
 #include "linnetlane/routing/isolation_detector.h"
 #include "linnetlane/routing/plain_pool.h"
 #include "linnetlane/routing/prefill_limiter.h"
-#include "linnetlane/routing/prompt_quarantine.h"
+#include "linnetlane/routing/request_quarantine.h"
 #include "linnetlane/routing/retry_budget.h"
 #include "linnetlane/routing/upstream_rate_limits.h"
 #include "linnetlane/routing/upstream_set.h"
@@ -110,9 +110,9 @@
     auto note_leaving(base::upstream_id const& id) -> bool;
     // Records facts that this host observed or another one told it.
     auto learn(std::vector<routing::shared_fact> const& learned, base::time_point now) -> void;
-    // Adopts quarantines of prompt parts that the registry lists.
-    auto learn_quarantined(std::vector<base::prompt_part_id> const& parts, base::time_point now)
-        -> void;
+    // Adopts quarantines that the registry lists.
+    auto learn_quarantined(std::vector<routing::quarantine_subject> const& subjects,
+                           base::time_point now) -> void;
     // Returns how many changes of this host's facts there were.
     [[nodiscard]] auto facts_mark() const -> fact_mark {
         return fact_mark{this->process, this->facts.position()};
@@ -138,7 +138,7 @@
     std::vector<host_entry> other_readers;
     // What this host and others have observed.
     routing::fact_board facts;
-    routing::prompt_quarantine quarantine;
+    routing::request_quarantine quarantine;
 
 private:
     // Applies what an upstream said of the rate that it takes.
--- a/linnetlane/router/routing_view_test.cpp
+++ b/linnetlane/router/routing_view_test.cpp
@@ -60,7 +60,7 @@
     static_cast<void>(view.feed.await(question, until));
     BOOST_TEST((base::monotonic_clock::now() >= until));
     auto const now = base::monotonic_clock::now();
-    view.learn({{{routing::fact_kind::prompt_crash, "part", "u#1"}, 0, now}}, now);
+    view.learn({{{routing::fact_kind::upstream_crash, "part", "u#1"}, 0, now}}, now);
     static_cast<void>(view.feed.await(question, now + 1min));
     BOOST_TEST((base::monotonic_clock::now() < now + 1min));
 }
--- a/linnetlane/router/stream_relay.h
+++ b/linnetlane/router/stream_relay.h
@@ -91,6 +91,7 @@
             this->framing.discard_incomplete();
             return relay_outcome::interrupted;
         }
+        this->context.note_answer_complete();
         return this->context.responder.finish() ? relay_outcome::complete
                                                 : relay_outcome::caller_left;
     }
--- a/linnetlane/routing/fact_board.cpp
+++ b/linnetlane/routing/fact_board.cpp
@@ -6,10 +6,10 @@
 
 auto fact_board::lifetime(fact_kind kind) -> base::duration {
     switch (kind) {
-        case fact_kind::prompt_crash:
-        case fact_kind::prompt_quarantined:
+        case fact_kind::upstream_crash:
+        case fact_kind::quarantined:
             return std::chrono::minutes{10};
-        case fact_kind::prompt_answered:
+        case fact_kind::answered:
             return std::chrono::minutes{1};
         case fact_kind::upstream_limit:
             break;
--- a/linnetlane/routing/fact_board.h
+++ b/linnetlane/routing/fact_board.h
@@ -28,14 +28,13 @@
 
 // The values are those on the wire between hosts.
 enum class fact_kind : std::uint8_t {
-    // An upstream ended under a request before it answered. The subject is a part of the prompt,
-    // the
-    // witness names the crash, and the value is the position of the part in the prompt.
-    prompt_crash = 1,
-    // An answer began to a prompt with that part.
-    prompt_answered = 2,
-    // The part is kept away from upstreams.
-    prompt_quarantined = 3,
+    // An upstream ended under a request. The subject is that of a quarantine, the witness names the
+    // crash, and the value is the position of the subject among those of the request.
+    upstream_crash = 1,
+    // The subject was answered.
+    answered = 2,
+    // The subject is kept away from upstreams.
+    quarantined = 3,
     // The requests per second that an upstream takes from all hosts together; negative if it names
     // no limit any more.
     upstream_limit = 4,
@@ -45,7 +44,7 @@
 inline constexpr auto no_limit = -1.0;
 
 struct fact_key {
-    fact_kind kind = fact_kind::prompt_crash;
+    fact_kind kind = fact_kind::upstream_crash;
     std::string subject;
     // Tells facts of one subject apart; empty for kinds that have one fact a subject.
     std::string witness;
--- a/linnetlane/routing/fact_board_test.cpp
+++ b/linnetlane/routing/fact_board_test.cpp
@@ -65,7 +65,7 @@
     for (auto index = 0; index < count; ++index) {
         auto const at = start + index * 1ms;
         static_cast<void>(board.note(
-            {{fact_kind::prompt_crash, "part" + std::to_string(index), "crash"}, 0, at}, at));
+            {{fact_kind::upstream_crash, "part" + std::to_string(index), "crash"}, 0, at}, at));
     }
     auto const facts = board.changed_since({}, start + 1s);
     BOOST_TEST(facts.size() == fact_board::max_facts + 1);
--- a/linnetlane/service/callers.cpp
+++ b/linnetlane/service/callers.cpp
@@ -1,13 +1,13 @@
 #include "linnetlane/service/callers.h"
 
 #include <algorithm>
-#include <array>
 #include <cctype>
 #include <cstddef>
 
 #include <fmt/format.h>
 #include <openssl/crypto.h>
-#include <openssl/sha.h>
+
+#include "linnetlane/base/sha256.h"
 
 namespace linnetlane::service {
 
@@ -50,13 +50,7 @@
 }  // namespace
 
 auto hash_key(std::string_view key) -> std::string {
-    auto digest = std::array<unsigned char, SHA256_DIGEST_LENGTH>{};
-    SHA256(reinterpret_cast<unsigned char const*>(key.data()), key.size(), digest.data());
-    auto text = std::string{};
-    for (auto const byte : digest) {
-        text += fmt::format("{:02x}", byte);
-    }
-    return text;
+    return base::sha256_hex(key);
 }
 
 auto bearer_key(std::string_view authorization) -> std::optional<std::string_view> {
