Isolation: an upstream that breaks off a request was reached

What callers saw: after two upstreams had crashed under a request, the host took itself for isolated, and refused the next sound request with 503 or sent it through another host, until a probe was answered (below 1 ms on a free machine).

Cause: a request that breaks off after it was sent counted as evidence that the host reaches no upstream, like one that couldn't be sent. Ruled out: the quarantine, which didn't know the sound request; the log names `no upstream answers`.

Change: a break-off counts only after the silence that counts for any exchange. A host that is cut off by resets sends nothing afterwards, which counts as before.

Two cases of users_platform_deadly_requests_test failed with 503 before and pass now, all 14 pass; users_platform_partitioned_host_test passes.

--- a/linnetlane/router/request_context.h
+++ b/linnetlane/router/request_context.h
@@ -286,7 +286,9 @@
     auto const* const failure = std::get_if<exchange_failure_kind>(&result);
     if (failure == nullptr) {
         context.note_answer();
-    } else if (*failure == exchange_failure_kind::caller_left) {
+    } else if (*failure == exchange_failure_kind::caller_left ||
+               *failure == exchange_failure_kind::unknown) {
+        // An upstream that breaks off what it had received was reached.
         context.note_abandoned(to, base::monotonic_clock::now());
     } else {
         context.note_no_answer(to);
--- a/linnetlane/routing/isolation_detector.h
+++ b/linnetlane/routing/isolation_detector.h
@@ -46,8 +46,8 @@
         this->waiting.erase(to);
         this->failed.insert(to);
     }
-    // Records that the caller left before there was an answer. Counts as evidence only if the
-    // exchange had waited for long enough.
+    // Records that the caller left, or the upstream broke off, before there was an answer. Counts
+    // as evidence only if the exchange had waited for long enough.
     auto note_abandoned(base::endpoint const& to, base::time_point now) -> void {
         auto const found = this->waiting.find(to);
         if (found == this->waiting.end()) {
