Generations: an engine that asks for a pause gets no reservations decided before it

What an upstream saw: within its pause it got 4 requests for memory from a host (2 are allowed), decided before it asked.

Cause: a request chooses the engines that it may ask once and asks them one after the other; each may take a quarter of a second. Ruled out: the choice itself, which leaves out paused engines.

Change: each engine is checked again before it is asked, also for its rate limit and for having said that it leaves. an_engine_that_asks_for_a_pause_gets_no_reservations_decided_before failed before (4) and passes.

--- a/linnetlane/router/generation_forwarder.h
+++ b/linnetlane/router/generation_forwarder.h
@@ -152,6 +152,11 @@
             if (record == nullptr) {
                 continue;
             }
+            // The engine may have said so while others were asked.
+            if (record->leaving || pool.is_blocked(id, base::monotonic_clock::now())) {
+                this->reservation_failure = attempt_result::no_capacity;
+                continue;
+            }
             if (this->is_isolated()) {
                 break;
             }
--- a/linnetlane/routing/generation_pool.h
+++ b/linnetlane/routing/generation_pool.h
@@ -82,6 +82,10 @@
         -> void {
         this->pauses.note(id, until, now);
     }
+    // Returns whether nothing may be sent to the engine because of a pause or its rate limit.
+    [[nodiscard]] auto is_blocked(base::upstream_id const& id, base::time_point now) const -> bool {
+        return this->pauses.is_blocked(id, now);
+    }
     [[nodiscard]] auto is_paused(base::upstream_id const& id, base::time_point now) const -> bool {
         return this->pauses.is_paused(id, now);
     }
