Generations: an engine that asks for a pause gets no releases

What an upstream saw: within its pause it got 6 calls that release memory which requests had reserved before it asked (2 calls are allowed).

Cause: when the prefill was done and the engine was paused, each request released its reservation at once, and results of prefills are discarded in the same way.

Change: nothing is released at an engine that wants nothing from the host.

--- a/linnetlane/router/generation_forwarder.h
+++ b/linnetlane/router/generation_forwarder.h
@@ -232,7 +232,13 @@
         return known ? found->second.engine->longest_reservation : base::duration{};
     }
 
+    // Frees the reserved memory, unless the engine wants nothing from this host. The reservation
+    // then expires.
     auto release(decode_reservation const& reserved) -> void {
+        if (this->context.state().generation.is_paused(reserved.engine.id,
+                                                       base::monotonic_clock::now())) {
+            return;
+        }
         send_in_background(this->context.host, reserved.engine.address,
                            Wire::make_release_request(reserved.id));
     }
@@ -413,8 +419,13 @@
         return made ? std::optional{prefill_location{engine.address, *made}} : std::nullopt;
     }
 
+    // Frees the result of a prefill, unless the engine wants nothing from this host.
     auto discard(prefill_location const& source) -> void {
         this->context.host.metrics.count_wasted_prefill(this->prompt());
+        if (this->context.state().generation.is_paused(this->prefilled_at,
+                                                       base::monotonic_clock::now())) {
+            return;
+        }
         send_in_background(this->context.host, source.engine,
                            Wire::make_discard_request(source.result));
     }
