Upstreams: a record that lacks the start is no restart

What an upstream saw: after its record was written without a start, and then again with it, a host that it had asked for a pause of 2 s sent 9 requests within it. What it had said of leaving was forgotten in the same way.

Cause: a host compared the starts of two records and took the lack of one for another process, whose predecessor's pause, rate limit, load and leaving it forgets. Another writer's record may lack fields.

Ruled out: a record that is removed and comes back, which keeps the pause by the upstream's id.

Change: only a record that states another start, or another address, is of a later process. A start that was known stays when a record without one comes. a_pause_outlasts_changes_of_the_record_of_the_same_process failed before (9) and passes, and so does the new a_record_without_a_start_is_no_restart.

--- a/linnetlane/router/registry_follower.h
+++ b/linnetlane/router/registry_follower.h
@@ -553,8 +553,7 @@
                                  {ended->id, telemetry::field::named("superseded_by", record.id)});
         }
         auto const* const known = this->host.view.upstreams.find(record.id);
-        auto const restarted = known != nullptr && (known->started != record.started ||
-                                                    known->address != record.address);
+        auto const restarted = known != nullptr && routing::has_restarted(*known, record);
         if (restarted) {
             this->host.view.forget_load(record.id);
         }
--- a/linnetlane/routing/upstream_set.cpp
+++ b/linnetlane/routing/upstream_set.cpp
@@ -79,15 +79,19 @@
     if (known == record) {
         return record_change::none;
     }
-    auto const restarted = known.started != record.started || !(known.address == record.address);
+    auto const restarted = has_restarted(known, record);
     if (restarted) {
         this->announced.erase(record.id);
     }
     // Without a start, a later process can't be told from an earlier one.
     auto const same_process = record.started.value != 0 || this->announced.contains(record.id);
     auto const stays_leaving = known.leaving && !restarted && same_process;
+    auto const started = known.started;
     known = record;
     known.leaving = known.leaving || stays_leaving;
+    if (!restarted && known.started.value == 0) {
+        known.started = started;
+    }
     return restarted ? record_change::restarted : record_change::updated;
 }
 
--- a/linnetlane/routing/upstream_set.h
+++ b/linnetlane/routing/upstream_set.h
@@ -55,6 +55,14 @@
     friend auto operator==(upstream_record const&, upstream_record const&) -> bool = default;
 };
 
+// Returns whether `newer`, with the id of `known`, is of a later process: it has another address or
+// another start. A record without a start doesn't tell.
+[[nodiscard]] inline auto has_restarted(upstream_record const& known, upstream_record const& newer)
+    -> bool {
+    auto const states_another_start = newer.started.value != 0 && known.started != newer.started;
+    return states_another_start || !(known.address == newer.address);
+}
+
 // The effect of a record on the set. `restarted`: the start or the address of a known upstream
 // changed. `updated`: only other fields changed. `ignored`: the record is outdated.
 enum class record_change { none, added, restarted, updated, ignored };
--- a/linnetlane/routing/upstream_set_test.cpp
+++ b/linnetlane/routing/upstream_set_test.cpp
@@ -143,5 +143,24 @@
     BOOST_TEST((set.put(record) == record_change::restarted));
 }
 
+// A record that another writer spoiled may lack the start.
+BOOST_AUTO_TEST_CASE(a_record_without_a_start_is_no_restart) {
+    auto set = upstream_set{};
+    auto record = make_record("a");
+    record.started.value = 7;
+    set.put(record);
+    set.note_leaving(record.id);
+    auto without_start = record;
+    without_start.started.value = 0;
+    BOOST_TEST((set.put(without_start) != record_change::restarted));
+    BOOST_TEST(set.find(record.id)->leaving);
+    BOOST_TEST((set.put(record) != record_change::restarted));
+    BOOST_TEST(set.find(record.id)->leaving);
+    set.put(without_start);
+    record.started.value = 8;
+    BOOST_TEST((set.put(record) == record_change::restarted));
+    BOOST_TEST(!set.find(record.id)->leaving);
+}
+
 }  // namespace
 }  // namespace linnetlane::routing
