Quarantine: bytes that are no answer are no crash

What callers would have seen: a request that met three upstreams which sent bytes that are no answer, or too many, was kept away from all upstreams for ten minutes, though none of them had ended under it.

Cause: each exchange that failed after it was sent counted as a crash. Change: malformed and oversized answers, and answers to other requests only, are failures of their own; just a connection that closes counts.

a_request_that_gets_bad_answers_is_not_kept_away: on the code before, the request wasn't answered within four minutes after sound upstreams had come; it passes now. users_platform_deadly_requests_test and the other cases of users_platform_odd_answers_test pass.

--- a/linnetlane/router/generation_forwarder.h
+++ b/linnetlane/router/generation_forwarder.h
@@ -400,7 +400,7 @@
         }
         auto const body = opened->stream.read_all(max_engine_answer_bytes, deadline);
         auto const* const broken = base::failure_of(body);
-        if (broken != nullptr && broken->kind != runtime::http_failure_kind::timed_out &&
+        if (broken != nullptr && broken->kind == runtime::http_failure_kind::closed &&
             !this->context.cancelled.cancelled()) {
             this->note_upstream_ended(engine.id, false);
         }
@@ -489,7 +489,9 @@
         if (failure == exchange_failure_kind::timed_out) {
             return attempt_result::timed_out;
         }
-        this->note_upstream_ended(reserved.engine.id, false);
+        if (failure == exchange_failure_kind::unknown) {
+            this->note_upstream_ended(reserved.engine.id, false);
+        }
         return this->may_run_again() ? attempt_result::retry : attempt_result::outcome_unknown;
     }
 
--- a/linnetlane/router/peer_forwarder.h
+++ b/linnetlane/router/peer_forwarder.h
@@ -82,6 +82,7 @@
                 return refuse<Wire>(this->context,
                                     refusal{refusal_reason::timed_out, std::nullopt});
             case exchange_failure_kind::unknown:
+            case exchange_failure_kind::unusable_answer:
                 break;
         }
         this->log(peer, "no answer", 0);
--- a/linnetlane/router/plain_forwarder.h
+++ b/linnetlane/router/plain_forwarder.h
@@ -164,7 +164,9 @@
         if (failure == exchange_failure_kind::timed_out) {
             return this->give_up(refusal_reason::timed_out);
         }
-        this->note_upstream_ended(target, false);
+        if (failure == exchange_failure_kind::unknown) {
+            this->note_upstream_ended(target, false);
+        }
         return this->retry_or_give_up(refusal_reason::outcome_unknown);
     }
 
@@ -215,7 +217,9 @@
                 return this->give_up(refusal_reason::timed_out);
             }
             // The caller receives nothing of an answer that isn't whole.
-            this->note_upstream_ended(target, false);
+            if (failed->kind == runtime::http_failure_kind::closed) {
+                this->note_upstream_ended(target, false);
+            }
             return this->retry_or_give_up(refusal_reason::outcome_unknown);
         }
         auto const failed_there = opened.head.status >= 500;
--- a/linnetlane/router/request_context.h
+++ b/linnetlane/router/request_context.h
@@ -214,8 +214,10 @@
 enum class exchange_failure_kind {
     // The request was not sent.
     not_sent,
-    // The request may have run.
+    // The upstream broke off, and the request may have run.
     unknown,
+    // What the upstream sent is no answer to the request, which may have run.
+    unusable_answer,
     timed_out,
     caller_left,
 };
@@ -251,9 +253,17 @@
         if (failed.send_state == runtime::send_state::not_sent) {
             return exchange_failure_kind::not_sent;
         }
-        return failed.kind == runtime::http_failure_kind::timed_out
-                   ? exchange_failure_kind::timed_out
-                   : exchange_failure_kind::unknown;
+        switch (failed.kind) {
+            case runtime::http_failure_kind::timed_out:
+                return exchange_failure_kind::timed_out;
+            case runtime::http_failure_kind::malformed:
+            case runtime::http_failure_kind::too_large:
+                return exchange_failure_kind::unusable_answer;
+            case runtime::http_failure_kind::connect_failed:
+            case runtime::http_failure_kind::closed:
+                break;
+        }
+        return exchange_failure_kind::unknown;
     };
     auto opened = runtime::open_stream(to, message, use, deadline, [&](std::function<void()> stop) {
         context.cancelled.attach(std::move(stop));
@@ -273,7 +283,7 @@
             return failure(*failed);
         }
     }
-    return exchange_failure_kind::unknown;
+    return exchange_failure_kind::unusable_answer;
 }
 
 // As `exchange`, with an upstream. Records whether upstreams can be reached.
@@ -287,8 +297,9 @@
     if (failure == nullptr) {
         context.note_answer();
     } else if (*failure == exchange_failure_kind::caller_left ||
-               *failure == exchange_failure_kind::unknown) {
-        // An upstream that breaks off what it had received was reached.
+               *failure == exchange_failure_kind::unknown ||
+               *failure == exchange_failure_kind::unusable_answer) {
+        // An upstream that breaks off what it had received, or answers it badly, was reached.
         context.note_abandoned(to, base::monotonic_clock::now());
     } else {
         context.note_no_answer(to);
