Facts: those of whole requests have a bound of their own, and a full board takes no older fact

Cause: an upstream that ends breaks off many requests, and each is a subject of its own, so that boards were full of them. They displaced the facts of parts, a full board took older facts in place of newer ones, and each fact that was known already cost a search of the whole board.

Change: 64 facts of whole requests beside 256 of other subjects; a full board takes no fact that is older than all it has; expired ones are dropped only when a new one comes.

a_full_board_takes_no_older_fact fails with the refusal of older facts taken out, and passes; facts_of_requests_do_not_displace_those_of_other_subjects passes.

--- a/linnetlane/routing/fact_board.cpp
+++ b/linnetlane/routing/fact_board.cpp
@@ -4,6 +4,16 @@
 
 namespace linnetlane::routing {
 
+namespace {
+
+// Returns whether the subject is a whole request. An upstream that ends breaks off many of them,
+// which would displace the few facts of other subjects.
+auto is_of_request(fact_key const& key) -> bool {
+    return key.subject.starts_with(whole_request_prefix);
+}
+
+}  // namespace
+
 auto fact_board::lifetime(fact_kind kind) -> base::duration {
     switch (kind) {
         case fact_kind::upstream_crash:
@@ -23,7 +33,6 @@
     if (too_long || fact.observed_at + lifetime(fact.key.kind) <= now) {
         return fact_novelty::known;
     }
-    this->forget_expired(now);
     auto const found = this->facts.find(fact.key);
     auto novelty = fact_novelty::changed;
     if (found != this->facts.end()) {
@@ -40,7 +49,10 @@
         }
         novelty = same_value ? fact_novelty::confirmed : fact_novelty::changed;
     } else {
-        this->make_room(fact.key.kind);
+        this->forget_expired(now);
+        if (!this->make_room(fact)) {
+            return fact_novelty::known;
+        }
     }
     this->newest = this->newest.next();
     this->facts.insert_or_assign(
@@ -74,11 +86,12 @@
     });
 }
 
-auto fact_board::make_room(fact_kind kind) -> void {
+auto fact_board::make_room(shared_fact const& fact) -> bool {
     auto oldest = this->facts.end();
     auto count = std::size_t{0};
     for (auto each = this->facts.begin(); each != this->facts.end(); ++each) {
-        if (each->first.kind != kind) {
+        if (each->first.kind != fact.key.kind ||
+            is_of_request(each->first) != is_of_request(fact.key)) {
             continue;
         }
         ++count;
@@ -86,9 +99,14 @@
             oldest = each;
         }
     }
-    if (count >= max_facts) {
-        this->facts.erase(oldest);
+    if (count < (is_of_request(fact.key) ? max_request_facts : max_facts)) {
+        return true;
+    }
+    if (fact.observed_at <= oldest->second.observed_at) {
+        return false;
     }
+    this->facts.erase(oldest);
+    return true;
 }
 
 }  // namespace linnetlane::routing
--- a/linnetlane/routing/fact_board.h
+++ b/linnetlane/routing/fact_board.h
@@ -19,6 +19,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "linnetlane/base/ids.h"
@@ -43,6 +44,9 @@
 // The value of `fact_kind::upstream_limit` for an upstream that names no limit.
 inline constexpr auto no_limit = -1.0;
 
+// How the names of subjects that are whole requests begin.
+inline constexpr auto whole_request_prefix = std::string_view{"request:"};
+
 struct fact_key {
     fact_kind kind = fact_kind::upstream_crash;
     std::string subject;
@@ -77,6 +81,8 @@
 public:
     // The number of facts of each kind that are kept. The oldest make room for newer ones.
     static constexpr auto max_facts = std::size_t{256};
+    // The same for whole requests. An upstream that ends breaks off many, of which few come again.
+    static constexpr auto max_request_facts = std::size_t{64};
     // Ids from other hosts that are longer are ignored.
     static constexpr auto max_text_bytes = std::size_t{200};
     // A later observation of the same value within this time changes nothing. It exceeds the time
@@ -106,7 +112,9 @@
     };
 
     auto forget_expired(base::time_point now) -> void;
-    auto make_room(fact_kind kind) -> void;
+    // Drops the oldest fact like `fact` if there are too many. Returns false if `fact` is no newer:
+    // boards that dropped different facts would otherwise exchange them without end.
+    auto make_room(shared_fact const& fact) -> bool;
 
     std::map<fact_key, entry> facts;
     fact_position newest;
--- a/linnetlane/routing/fact_board_test.cpp
+++ b/linnetlane/routing/fact_board_test.cpp
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include <fmt/format.h>
 #include <rapidcheck.h>
 #include <boost/test/unit_test.hpp>
 
@@ -125,5 +126,33 @@
     }));
 }
 
+auto request_crash(std::size_t index, base::time_point at) -> shared_fact {
+    return {{fact_kind::upstream_crash, fmt::format("request:{}/app", index), "u#1"}, 0, at};
+}
+
+// Hosts that dropped it would tell each other of it again and again.
+BOOST_AUTO_TEST_CASE(a_full_board_takes_no_older_fact) {
+    auto board = fact_board{};
+    for (auto index = std::size_t{0}; index < fact_board::max_request_facts; ++index) {
+        static_cast<void>(board.note(request_crash(index, start + 1s), start + 1s));
+    }
+    auto const full = board.position();
+    BOOST_TEST((board.note(request_crash(1000, start), start + 2s) == fact_novelty::known));
+    BOOST_TEST(board.changed_since(full, start + 2s).empty());
+    BOOST_TEST((board.note(request_crash(1001, start + 2s), start + 2s) == fact_novelty::changed));
+    BOOST_TEST(board.changed_since({}, start + 2s).size() == fact_board::max_request_facts);
+}
+
+BOOST_AUTO_TEST_CASE(facts_of_requests_do_not_displace_those_of_other_subjects) {
+    auto board = fact_board{};
+    auto const part = fact_key{fact_kind::upstream_crash, "llm/dead", "u#1"};
+    static_cast<void>(board.note({part, 0, start}, start));
+    for (auto index = std::size_t{0}; index < 2 * fact_board::max_facts; ++index) {
+        auto const at = start + index * 1ms;
+        static_cast<void>(board.note(request_crash(index, at), at));
+    }
+    BOOST_TEST(board.find(part, start + 1min).has_value());
+}
+
 }  // namespace
 }  // namespace linnetlane::routing
--- a/linnetlane/routing/request_quarantine.cpp
+++ b/linnetlane/routing/request_quarantine.cpp
@@ -1,7 +1,6 @@
 #include "linnetlane/routing/request_quarantine.h"
 
 #include <algorithm>
-#include <string_view>
 #include <tuple>
 #include <utility>
 
@@ -11,7 +10,6 @@
 
 namespace {
 
-constexpr auto whole_request_prefix = std::string_view{"request:"};
 // A whole request is shared by fewer requests than each part of its prompt.
 constexpr auto position_of_whole_request = std::size_t{1000};
 
