Accounts: keys are checked, their names set for upstreams, and quotas kept by followed hosts

Cause: the router knew no accounts.

Change: configurations list accounts with digests of their keys; requests are authenticated once, the key is taken out and the account's name set; freshness of the configuration bounds how long an old one opens anything; quotas are token buckets at the hosts that read the registry, which hold the shares of their followers and lend to each other.

--- a/linnetlane/base/ids.h
+++ b/linnetlane/base/ids.h
@@ -57,6 +57,8 @@
 using service_id = basic_name<struct service_tag>;
 // An account that sends requests.
 using caller_id = basic_name<struct caller_tag>;
+// Where a value stands in a document, such as `routes[2].host`.
+using document_path = basic_name<struct document_path_tag>;
 // The id that a caller gave its request.
 using caller_request_id = basic_name<struct caller_request_tag>;
 // A key sent by the caller to make its request idempotent.
--- a/linnetlane/protocol/router.thrift
+++ b/linnetlane/protocol/router.thrift
@@ -45,6 +45,8 @@
     10: i64 target_latency,
     11: i32 priority,
     12: i64 most_attempts,
+    // Whether requests need no key.
+    13: optional bool open_to_all,
 }
 
 struct engine_shape {
@@ -68,11 +70,33 @@
     4: i64 idle,
 }
 
+// How much work a client account may request.
+struct account_quota {
+    // Whether amounts are tokens; otherwise they are requests.
+    1: bool counts_tokens,
+    2: double per_second,
+    3: double burst,
+    // The tokens of a request that states no size.
+    4: i64 unsized_tokens,
+}
+
+struct account {
+    1: string name,
+    // Of the account's keys; keys themselves are never sent.
+    2: list<string> key_digests,
+    3: optional i32 priority,
+    4: optional account_quota quota,
+}
+
 struct configuration {
     1: i64 version,
     2: list<route> routes,
     3: list<service_terms> services,
     4: caller_limits limits,
+    // Hosts that know no accounts leave it out, so that a configuration without it may lack some.
+    5: optional list<account> accounts,
+    // Whether requests need the key of an account.
+    6: optional bool requires_keys,
 }
 
 // A host that can be followed.
@@ -152,6 +176,8 @@
     // The facts after those that the requester knows, up to `facts_at`.
     10: optional list<fact> facts,
     11: optional fact_mark facts_at,
+    // The time since the sender's configuration was known to be the newest one.
+    12: optional i64 configuration_age,
 }
 
 struct header_field {
@@ -169,4 +195,25 @@
     4: binary body,
     // The time that the caller still allows.
     5: i64 time_left,
+    // The digest of the key that the request carried. Its field isn't sent.
+    6: optional string key_digest,
+}
+
+// Requests a part of a client account's quota from the host that keeps it for the sender, or gives
+// back what wasn't used.
+struct quota_question {
+    1: string account_name,
+    // In the account's unit; negative to give back.
+    2: double amount,
+    // The sender keeps quota for other hosts and asks for a part of the receiver's. What the
+    // receiver has is enough or there is no grant, but nobody is asked further.
+    3: bool from_keeper,
+    // The version of the sender's configuration.
+    4: i64 configuration_version,
+}
+
+struct quota_answer {
+    1: double granted,
+    // The time until the amount is expected to be available, if it isn't granted.
+    2: i64 wait,
 }
--- a/linnetlane/router/generation_forwarder.h
+++ b/linnetlane/router/generation_forwarder.h
@@ -61,6 +61,8 @@
         timed_out,
         no_capacity,
         quarantined,
+        // The request's key may have been taken away.
+        key_in_doubt,
         unreachable,
         outcome_unknown,
         interrupted,
@@ -84,6 +86,9 @@
         if (this->context.quarantine_refusal(base::monotonic_clock::now())) {
             return attempt_result::quarantined;
         }
+        if (!this->context.key_is_valid()) {
+            return attempt_result::key_in_doubt;
+        }
         if (this->context.state().generation.paused_for(base::monotonic_clock::now()) >
             base::duration::zero()) {
             return attempt_result::no_capacity;
@@ -301,6 +306,10 @@
             if (record == nullptr || !this->may_prefill(tried, now)) {
                 return std::nullopt;
             }
+            if (!this->context.key_is_valid()) {
+                this->prefill_failure = attempt_result::key_in_doubt;
+                return std::nullopt;
+            }
             tried.insert(*id);
             if (auto location = this->prefill_at(*record)) {
                 return location;
@@ -445,6 +454,11 @@
             this->discard(source);
             return attempt_result::quarantined;
         }
+        if (!this->context.key_is_valid()) {
+            this->release(reserved);
+            this->discard(source);
+            return attempt_result::key_in_doubt;
+        }
         if (this->decodes++ > 0 && !this->may_decode_again(now)) {
             this->release(reserved);
             this->discard(source);
@@ -606,6 +620,8 @@
                 return this->refuse_or_cut(refusal_reason::overloaded);
             case attempt_result::quarantined:
                 return this->refuse_or_cut(refusal_reason::prompt_quarantined);
+            case attempt_result::key_in_doubt:
+                return this->refuse_or_cut(refusal_reason::configuration_too_old);
             case attempt_result::unreachable:
             case attempt_result::retry:
                 if (this->may_be_sent_by_peer()) {
--- a/linnetlane/router/host.h
+++ b/linnetlane/router/host.h
@@ -20,6 +20,7 @@
 #include "linnetlane/router/isolation_watch.h"
 #include "linnetlane/router/peer_forwarder.h"
 #include "linnetlane/router/plain_forwarder.h"
+#include "linnetlane/router/quota_service.h"
 #include "linnetlane/router/registry_follower.h"
 #include "linnetlane/router/request_context.h"
 #include "linnetlane/router/request_digest.h"
@@ -58,6 +59,7 @@
           membership{this->registry, this->host},
           recorder{this->registry, this->host},
           publisher{this->host},
+          quotas{this->host},
           isolation{this->registry, this->host} {}
 
     // Binds the addresses and starts the fibers. Throws `boost::system::system_error` if an address
@@ -155,8 +157,12 @@
         -> void {
         if (request.target == forward_target) {
             this->serve_forwarded(request, responder);
+        } else if (request.target == keyed_forward_target) {
+            this->serve_forwarded(request, responder);
         } else if (request.target == facts_target) {
             this->receive_facts(request, responder);
+        } else if (request.target == quota_target) {
+            this->serve_quota(request, responder);
         } else {
             this->serve_follower(request, responder);
         }
@@ -174,7 +180,23 @@
         }
         auto caller = Wire::read_caller_request(forwarded->request);
         caller.timeout = forwarded->time_left;
-        this->serve(caller, responder, true);
+        caller.key = forwarded->key;
+        this->serve(std::move(caller), responder, true);
+    }
+
+    auto serve_quota(runtime::http_request const& request, runtime::http_responder& responder)
+        -> void {
+        auto const question = decode_quota_question(request.body);
+        auto response = runtime::http_response{};
+        if (!question) {
+            this->log.write(telemetry::log_level::warning, "malformed quota request from a host",
+                            {});
+            response.status = 400;
+        } else {
+            response.body = encode(this->quotas.answer(*question));
+        }
+        // If the peer has disconnected, it uses its own share.
+        static_cast<void>(responder.send(response));
     }
 
     auto receive_facts(runtime::http_request const& request, runtime::http_responder& responder)
@@ -246,12 +268,12 @@
         }
         update.hosts = this->view.known_hosts();
         update.relays = std::move(relays);
+        update.configuration_age = this->view.freshness.age(base::boot_clock::now());
         return update;
     }
 
     // Serves a request of a caller, or one that another host sent on.
-    auto serve(caller_request const& caller, runtime::http_responder& responder, bool from_peer)
-        -> void {
+    auto serve(caller_request caller, runtime::http_responder& responder, bool from_peer) -> void {
         auto const arrived = base::monotonic_clock::now();
         auto const configuration = this->view.routes.current();
         auto const refuse_unrouted = [&](refusal_reason reason) {
@@ -270,6 +292,11 @@
             refuse_unrouted(refusal_reason::no_route);
             return;
         }
+        if (auto const refused = authenticate<Wire>(
+                caller, *configuration, *route, this->settings.accounts, this->view.freshness)) {
+            refuse_unrouted(*refused);
+            return;
+        }
         auto const* const service = routing::choose_target(*route, this->view.draw());
         if (service == nullptr) {
             refuse_unrouted(refusal_reason::no_upstream);
@@ -309,6 +336,14 @@
                            end);
             return;
         }
+        // The host that received a request has taken its work from the quota.
+        auto const charged = !context.from_peer;
+        if (auto const refused = charged ? this->quotas.charge(context) : std::nullopt) {
+            auto const end = refuse<Wire>(context, *refused);
+            this->note_end(context, generates ? request_kind::generation : request_kind::plain,
+                           end);
+            return;
+        }
         auto end = this->isolation.is_isolated(context)
                        ? unsent_request()
                        : this->forward_to_upstream(context, generates);
@@ -320,6 +355,9 @@
                 routing::retry_after(context.route.target_latency, this->view.draw());
             end = refuse<Wire>(context, refusal{refusal_reason::upstreams_unreachable, delay});
         }
+        if (charged && end.refused && is_not_run(*end.refused)) {
+            this->quotas.give_back(context);
+        }
         this->note_end(context, generates ? request_kind::generation : request_kind::plain, end);
     }
 
@@ -356,6 +394,7 @@
             {context.caller.id,
              context.service,
              telemetry::field::named("route", context.route.name),
+             telemetry::field::named("account", context.caller.account.value_or(base::caller_id{})),
              {"version", static_cast<std::int64_t>(context.configuration->version.value)},
              {"outcome", describe(end)},
              {"status", static_cast<std::int64_t>(end.status)},
@@ -402,6 +441,12 @@
                 return "refused: upstreams end under a part of the prompt";
             case refusal_reason::request_quarantined:
                 return "refused: upstreams end under the request";
+            case refusal_reason::unknown_key:
+                return "refused: no account has the key";
+            case refusal_reason::configuration_too_old:
+                return "refused: keys may have been taken away";
+            case refusal_reason::quota_exceeded:
+                return "refused: account exceeds its quota";
             case refusal_reason::leaving:
                 break;
         }
@@ -411,7 +456,7 @@
     auto refuse_unrouted(caller_request const& caller, runtime::http_responder& responder,
                          refusal_reason reason, base::time_point arrived, bool from_peer) -> void {
         auto refused = refusal{reason, std::nullopt};
-        if (reason != refusal_reason::no_route) {
+        if (reason != refusal_reason::no_route && reason != refusal_reason::unknown_key) {
             refused.retry_after = configuration_wait;
         }
         auto response = Wire::write_refusal(refused, caller);
@@ -425,6 +470,7 @@
         this->log.write(
             telemetry::log_level::info, "request ended",
             {caller.id,
+             telemetry::field::named("account", caller.account.value_or(base::caller_id{})),
              {"version",
               configuration ? static_cast<std::int64_t>(configuration->version.value) : 0},
              {"outcome", describe(reason)},
@@ -444,6 +490,7 @@
     host_membership<Registry, Wire> membership;
     stream_origin_recorder<Registry> recorder;
     fact_publisher publisher;
+    quota_service quotas;
     isolation_watch<Registry, Wire> isolation;
     std::optional<runtime::http_server> callers;
     std::optional<runtime::http_server> operators;
--- a/linnetlane/router/messages.h
+++ b/linnetlane/router/messages.h
@@ -14,6 +14,7 @@
 #include <utility>
 #include <vector>
 
+#include "linnetlane/base/account_key.h"
 #include "linnetlane/base/endpoint.h"
 #include "linnetlane/base/ids.h"
 #include "linnetlane/base/result.h"
@@ -45,9 +46,13 @@
     std::optional<routing::generation_size> size;
     // The parts of the prompt that other requests may share, in order; empty if there are none.
     std::vector<base::prompt_part_id> shared_parts;
-    // The fields of the request that tell callers apart; requests with equal ones are of one
-    // caller.
+    // What tells callers apart; requests with equal ones are of one caller. The account's name, if
+    // there are accounts.
     std::string caller;
+    // The account that the request runs for, if there are accounts.
+    std::optional<base::caller_id> account;
+    // The digest of the key that the request carried, if there are accounts.
+    std::optional<base::key_digest> key;
     // The request to forward: method, target and body unchanged, with the fields to pass on.
     runtime::http_request forwarded;
 };
@@ -73,8 +78,19 @@
     request_quarantined,
     // The host is shutting down.
     leaving,
+    // No account has the request's key, or it carries none.
+    unknown_key,
+    // An account may have the key in a newer configuration, which this host may lack.
+    configuration_too_old,
+    // The account has requested more than its quota.
+    quota_exceeded,
 };
 
+// Returns whether a request that is refused for `reason` certainly hasn't run and never will.
+[[nodiscard]] constexpr auto is_not_run(refusal_reason reason) -> bool {
+    return reason != refusal_reason::outcome_unknown && reason != refusal_reason::timed_out;
+}
+
 struct refusal {
     refusal_reason reason = refusal_reason::overloaded;
     // The delay after which a retry may succeed. Set only if the request has not run.
@@ -149,11 +165,17 @@
 // Translates messages to and from a platform's callers and upstreams. All functions are static.
 template <typename Wire>
 concept router_wire = requires(runtime::http_request const& request, runtime::http_fields fields,
-                               caller_request const& caller, send_options const& options,
-                               decode_options const& decode, refusal const& refused,
-                               std::string_view text, std::string const& body,
-                               order_authority const& authority, engine_report const& report) {
+                               caller_request const& caller, caller_request& account_target,
+                               std::optional<base::caller_id> const& account,
+                               send_options const& options, decode_options const& decode,
+                               refusal const& refused, std::string_view text,
+                               std::string const& body, order_authority const& authority,
+                               engine_report const& report) {
     { Wire::read_caller_request(request) } -> std::same_as<caller_request>;
+    // Returns the key of an account that the request carries.
+    { Wire::account_key(request) } -> std::same_as<std::optional<std::string_view>>;
+    // Names the account to upstreams, or none, whatever the caller named. Removes the key.
+    {Wire::set_account(account_target, account)};
     { Wire::write_refusal(refused, caller) } -> std::same_as<runtime::http_response>;
     { Wire::is_readiness_check(request) } -> std::same_as<bool>;
     { Wire::read_answer(200, fields) } -> std::same_as<upstream_answer>;
@@ -201,6 +223,10 @@
 struct configuration_reading {
     // Null if there is none or it can't be parsed.
     std::shared_ptr<routing::configuration const> configuration;
+    // There is one that can't be parsed.
+    bool unreadable = false;
+    // The paths of the parts of the configuration that can't be read and were left out.
+    std::vector<std::string> skipped;
     registry_position position;
 };
 
--- a/linnetlane/router/peer_codec.cpp
+++ b/linnetlane/router/peer_codec.cpp
@@ -85,6 +85,7 @@
     out.__set_target_latency(microseconds_of(route.target_latency));
     out.__set_priority(route.priority);
     out.__set_most_attempts(static_cast<std::int64_t>(route.max_attempts));
+    out.__set_open_to_all(route.open_to_all);
     return out;
 }
 
@@ -104,6 +105,26 @@
     return out;
 }
 
+auto to_wire(routing::client_account const& account) -> peer_wire::account {
+    auto out = peer_wire::account{};
+    out.__set_name(account.id.value);
+    for (auto const& key : account.keys) {
+        out.key_digests.push_back(key.value);
+    }
+    if (account.priority) {
+        out.__set_priority(*account.priority);
+    }
+    if (account.quota) {
+        auto quota = peer_wire::account_quota{};
+        quota.__set_counts_tokens(account.quota->unit == routing::quota_unit::tokens);
+        quota.__set_per_second(account.quota->per_second);
+        quota.__set_burst(account.quota->burst);
+        quota.__set_unsized_tokens(static_cast<std::int64_t>(account.quota->unsized_tokens));
+        out.__set_quota(quota);
+    }
+    return out;
+}
+
 auto to_wire(routing::configuration const& configuration) -> peer_wire::configuration {
     auto out = peer_wire::configuration{};
     out.__set_version(static_cast<std::int64_t>(configuration.version.value));
@@ -118,6 +139,12 @@
     out.limits.__set_body_bytes(static_cast<std::int64_t>(limits.body_bytes));
     out.limits.__set_request_arrival(microseconds_of(limits.request_arrival));
     out.limits.__set_idle(microseconds_of(limits.idle));
+    auto accounts = std::vector<peer_wire::account>{};
+    for (auto const& account : configuration.accounts.all()) {
+        accounts.push_back(to_wire(account));
+    }
+    out.__set_accounts(accounts);
+    out.__set_requires_keys(configuration.requires_keys);
     return out;
 }
 
@@ -191,6 +218,9 @@
     if (update.facts_at) {
         out.__set_facts_at(to_wire(*update.facts_at));
     }
+    if (update.configuration_age) {
+        out.__set_configuration_age(microseconds_of(*update.configuration_age));
+    }
     return out;
 }
 
@@ -280,6 +310,7 @@
     route.target_latency = span(in.target_latency);
     route.priority = in.priority;
     route.max_attempts = amount(in.most_attempts);
+    route.open_to_all = in.__isset.open_to_all && in.open_to_all;
     return route;
 }
 
@@ -299,6 +330,26 @@
     return service;
 }
 
+auto from_wire(peer_wire::account&& in) -> routing::client_account {
+    auto account = routing::client_account{};
+    account.id.value = std::move(in.name);
+    for (auto& digest : in.key_digests) {
+        account.keys.push_back(base::key_digest{std::move(digest)});
+    }
+    if (in.__isset.priority) {
+        account.priority = in.priority;
+    }
+    if (in.__isset.quota) {
+        auto const finite = std::isfinite(in.quota.per_second) && std::isfinite(in.quota.burst);
+        account.quota = routing::account_quota{
+            in.quota.counts_tokens ? routing::quota_unit::tokens : routing::quota_unit::requests,
+            finite ? std::max(in.quota.per_second, 0.0) : 0.0,
+            finite ? std::max(in.quota.burst, 0.0) : 0.0,
+            static_cast<double>(std::max<std::int64_t>(in.quota.unsized_tokens, 0))};
+    }
+    return account;
+}
+
 auto from_wire(peer_wire::configuration&& in) -> routing::configuration {
     auto configuration = routing::configuration{};
     configuration.version.value = static_cast<std::uint64_t>(in.version);
@@ -314,6 +365,12 @@
     configuration.limits.body_bytes = amount(in.limits.body_bytes);
     configuration.limits.request_arrival = span(in.limits.request_arrival);
     configuration.limits.idle = span(in.limits.idle);
+    configuration.requires_keys = in.requires_keys;
+    auto accounts = std::vector<routing::client_account>{};
+    for (auto& account : in.accounts) {
+        accounts.push_back(from_wire(std::move(account)));
+    }
+    configuration.accounts = routing::client_accounts{std::move(accounts)};
     return configuration;
 }
 
@@ -342,8 +399,8 @@
     return runtime::http_request{"POST", std::string{changes_target}, {}, encode(question)};
 }
 
-auto make_forward_request(runtime::http_request const& request, base::duration time_left)
-    -> runtime::http_request {
+auto make_forward_request(runtime::http_request const& request, base::duration time_left,
+                          std::optional<base::key_digest> const& key) -> runtime::http_request {
     auto out = peer_wire::forwarded_request{};
     out.__set_method(request.method);
     out.__set_target(request.target);
@@ -355,8 +412,13 @@
     }
     out.__set_body(request.body);
     out.__set_time_left(microseconds_of(time_left));
-    return runtime::http_request{
-        "POST", std::string{forward_target}, {}, protocol::write_compact(out)};
+    if (key) {
+        out.__set_key_digest(key->value);
+    }
+    return runtime::http_request{"POST",
+                                 std::string{key ? keyed_forward_target : forward_target},
+                                 {},
+                                 protocol::write_compact(out)};
 }
 
 auto make_fact_report(std::vector<aged_fact> const& facts) -> runtime::http_request {
@@ -384,6 +446,9 @@
     }
     decoded.request.body = std::move(in->body);
     decoded.time_left = span(in->time_left);
+    if (in->__isset.key_digest) {
+        decoded.key = base::key_digest{std::move(in->key_digest)};
+    }
     return decoded;
 }
 
@@ -396,6 +461,41 @@
     return fields.find(refusal_field).has_value() || (head.status == bad_request && !head.attested);
 }
 
+auto make_quota_request(quota_question const& question) -> runtime::http_request {
+    auto out = peer_wire::quota_question{};
+    out.__set_account_name(question.account.value);
+    out.__set_amount(question.amount);
+    out.__set_from_keeper(question.from_keeper);
+    out.__set_configuration_version(static_cast<std::int64_t>(question.configuration.value));
+    return runtime::http_request{
+        "POST", std::string{quota_target}, {}, protocol::write_compact(out)};
+}
+
+auto decode_quota_question(std::string_view text) -> std::optional<quota_question> {
+    auto in = read<peer_wire::quota_question>(text);
+    if (!in || in->account_name.empty() || !std::isfinite(in->amount)) {
+        return std::nullopt;
+    }
+    return quota_question{
+        base::caller_id{std::move(in->account_name)}, in->amount, in->from_keeper,
+        routing::configuration_version{static_cast<std::uint64_t>(in->configuration_version)}};
+}
+
+auto encode(quota_answer const& answer) -> std::string {
+    auto out = peer_wire::quota_answer{};
+    out.__set_granted(answer.granted);
+    out.__set_wait(microseconds_of(answer.wait));
+    return protocol::write_compact(out);
+}
+
+auto decode_quota_answer(std::string_view text) -> std::optional<quota_answer> {
+    auto const in = read<peer_wire::quota_answer>(text);
+    if (!in || !in->__isset.granted || !std::isfinite(in->granted)) {
+        return std::nullopt;
+    }
+    return quota_answer{in->granted, span(in->wait)};
+}
+
 auto encode(changes_question const& question) -> std::string {
     auto out = peer_wire::changes_question{};
     out.__set_after(static_cast<std::int64_t>(question.after.value));
@@ -465,6 +565,10 @@
         changes.removed.push_back(base::upstream_id{std::move(id)});
     }
     if (in->__isset.newer_configuration) {
+        if (!in->newer_configuration.__isset.accounts) {
+            // A host that knows no accounts may have dropped some.
+            return registry_failure::malformed;
+        }
         update.configuration = std::make_shared<routing::configuration const>(
             from_wire(std::move(in->newer_configuration)));
     }
@@ -480,6 +584,9 @@
     if (in->__isset.facts_at) {
         update.facts_at = from_wire(in->facts_at);
     }
+    if (in->__isset.configuration_age && in->configuration_age >= 0) {
+        update.configuration_age = span(in->configuration_age);
+    }
     return update;
 }
 
--- a/linnetlane/router/peer_codec.h
+++ b/linnetlane/router/peer_codec.h
@@ -80,6 +80,8 @@
     // exchange facts.
     std::vector<aged_fact> facts = {};
     std::optional<fact_mark> facts_at = std::nullopt;
+    // The time since the answering host's configuration was known to be the newest one, if it was.
+    std::optional<base::duration> configuration_age = std::nullopt;
 };
 
 using changes_answer = base::result<registry_update, registry_failure>;
@@ -90,16 +92,44 @@
     runtime::http_request request;
     // The time that the caller still allows.
     base::duration time_left{};
+    // The digest of the key that the request carried, if there are accounts.
+    std::optional<base::key_digest> key = std::nullopt;
+};
+
+// Requests a part of an account's quota from the host that keeps it for the sender.
+struct quota_question {
+    base::caller_id account;
+    // In the unit of the account's quota; negative to give back.
+    double amount = 0;
+    // The sender keeps quota for other hosts itself.
+    bool from_keeper = false;
+    routing::configuration_version configuration;
+
+    friend auto operator==(quota_question const&, quota_question const&) -> bool = default;
+};
+
+struct quota_answer {
+    double granted = 0;
+    // The time until the amount is expected to be available, if it isn't granted.
+    base::duration wait{};
+
+    friend auto operator==(quota_answer const&, quota_answer const&) -> bool = default;
 };
 
 // The targets of requests between hosts.
 inline constexpr auto changes_target = std::string_view{"/upstream-changes"};
 inline constexpr auto forward_target = std::string_view{"/forwarded-requests"};
+// For requests of accounts, which hosts that know no accounts don't take.
+inline constexpr auto keyed_forward_target = std::string_view{"/forwarded-account-requests"};
+inline constexpr auto quota_target = std::string_view{"/account-quotas"};
 inline constexpr auto facts_target = std::string_view{"/facts"};
 
 [[nodiscard]] auto make_changes_request(changes_question const& question) -> runtime::http_request;
+// `key` is the digest of the key that the request carried, if there are accounts.
 [[nodiscard]] auto make_forward_request(runtime::http_request const& request,
-                                        base::duration time_left) -> runtime::http_request;
+                                        base::duration time_left,
+                                        std::optional<base::key_digest> const& key = std::nullopt)
+    -> runtime::http_request;
 [[nodiscard]] auto make_fact_report(std::vector<aged_fact> const& facts) -> runtime::http_request;
 // Returns nothing if `text` is malformed.
 [[nodiscard]] auto decode_fact_report(std::string_view text)
@@ -113,6 +143,13 @@
 [[nodiscard]] auto is_forward_refusal(upstream_answer const& head,
                                       runtime::http_fields const& fields) -> bool;
 
+[[nodiscard]] auto make_quota_request(quota_question const& question) -> runtime::http_request;
+// Returns nothing if `text` is malformed.
+[[nodiscard]] auto decode_quota_question(std::string_view text) -> std::optional<quota_question>;
+[[nodiscard]] auto encode(quota_answer const& answer) -> std::string;
+// Returns nothing if `text` is malformed.
+[[nodiscard]] auto decode_quota_answer(std::string_view text) -> std::optional<quota_answer>;
+
 [[nodiscard]] auto encode(changes_question const& question) -> std::string;
 [[nodiscard]] auto encode(changes_answer const& answer) -> std::string;
 
--- a/linnetlane/router/plain_forwarder.h
+++ b/linnetlane/router/plain_forwarder.h
@@ -48,6 +48,9 @@
             if (auto const refused = this->context.quarantine_refusal(now)) {
                 return this->give_up(refused->reason);
             }
+            if (!this->context.key_is_valid()) {
+                return this->give_up(refusal_reason::configuration_too_old);
+            }
             auto const target = this->is_isolated(now) ? std::nullopt : this->next_target(now);
             if (!target) {
                 if (this->sent_nothing()) {
--- a/linnetlane/router/registry_follower.h
+++ b/linnetlane/router/registry_follower.h
@@ -28,6 +28,11 @@
     // How long a call waits for changes. If the registry stops answering, this is detected earlier,
     // by keepalive probes of the connection and by `host_membership`, which interrupts the wait.
     static constexpr auto wait = std::chrono::seconds{15};
+    // How long a call waits for a newer configuration while keys are required: a share of the bound
+    // on revocations that leaves time for followers and for a lost call, or the second value if
+    // there is no bound.
+    static constexpr auto key_check_share = 1.0 / 6;
+    static constexpr auto key_check_wait = std::chrono::seconds{1};
     // The time after the end of the wait at which a call fails.
     static constexpr auto timeout_margin = std::chrono::milliseconds{700};
     // The timeout of a read of the full state.
@@ -141,10 +146,11 @@
                 position.reset();
             }
             auto const now = base::monotonic_clock::now();
+            auto const asked_at = base::boot_clock::now();
+            auto const wait = this->longest_wait();
             auto const reading =
                 position ? this->registry.await_configuration(
-                               *position, follower_timing::wait,
-                               now + follower_timing::wait + follower_timing::timeout_margin)
+                               *position, wait, now + wait + follower_timing::timeout_margin)
                          : this->registry.read_configuration(now + follower_timing::read_timeout);
             auto const* const failure = base::failure_of(reading);
             this->host.view.feed.set_reads_configuration(failure == nullptr);
@@ -156,7 +162,13 @@
             this->outages.succeeded();
             this->backoff.after_success();
             position = base::value_of(reading).position;
+            for (auto const& path : base::value_of(reading).skipped) {
+                this->host.log.write(telemetry::log_level::warning,
+                                     "a part of the configuration can't be read",
+                                     {telemetry::field::named("path", base::document_path{path})});
+            }
             this->offer(base::value_of(reading).configuration);
+            this->note_freshness(base::value_of(reading), asked_at);
         }
     }
 
@@ -178,6 +190,40 @@
     }
 
 private:
+    // Returns how long to wait for a newer configuration. The end of a wait without one proves that
+    // the configuration is the newest.
+    [[nodiscard]] auto longest_wait() const -> base::duration {
+        auto const current = this->host.view.routes.current();
+        if (current == nullptr || !current->requires_keys) {
+            return follower_timing::wait;
+        }
+        auto const bound = this->host.settings.accounts.revocation_bound;
+        return bound ? std::chrono::duration_cast<base::duration>(*bound *
+                                                                  follower_timing::key_check_share)
+                     : base::duration{follower_timing::key_check_wait};
+    }
+
+    // Records what an answer of the registry to a question at `asked_at` proves. One that shows an
+    // older configuration than that in force, or an unreadable one, proves nothing, nor do the
+    // waits that follow it.
+    auto note_freshness(configuration_reading const& reading,
+                        routing::configuration_freshness::time_point asked_at) -> void {
+        if (this->registry.era() != this->known_era) {
+            this->known_era = this->registry.era();
+            this->host.view.freshness.forget();
+        }
+        auto const in_force = this->host.view.routes.current();
+        if (reading.unreadable) {
+            this->shows_in_force = false;
+        } else if (reading.configuration != nullptr) {
+            this->shows_in_force =
+                in_force != nullptr && in_force->version == reading.configuration->version;
+        }
+        if (this->shows_in_force) {
+            this->host.view.freshness.note_newest(asked_at);
+        }
+    }
+
     // Waits while this host doesn't read the registry itself. Returns whether it waited.
     auto wait_while_relayed() -> bool {
         auto const& view = this->host.view;
@@ -206,6 +252,9 @@
     applied_hook on_applied;
     outage_reporter outages;
     retry_backoff backoff;
+    registry_era known_era;
+    // The last configuration that the registry showed is the one in force.
+    bool shows_in_force = false;
 };
 
 // Follows the upstreams in the registry, directly or through another host. Not thread-safe; must be
@@ -259,6 +308,7 @@
         auto const turns_reader =
             choice.origin == change_origin::registry && !std::exchange(view.reads_registry, true);
         view.reads_registry = choice.origin == change_origin::registry;
+        view.source = choice.relay;
         this->note_source(choice);
         switch (choice.origin) {
             case change_origin::registry:
@@ -395,6 +445,7 @@
         -> std::optional<registry_position> {
         auto& view = this->host.view;
         view.feed.invalidate();
+        auto const asked_at = base::boot_clock::now();
         auto const answer = this->ask_relay(relay, position);
         if (auto const* const failure = base::failure_of(answer)) {
             if (*failure == registry_failure::history_lost) {
@@ -419,6 +470,9 @@
             view.note_hosts(update.hosts, base::monotonic_clock::now());
         }
         this->on_configuration(update.configuration);
+        if (update.configuration_age) {
+            view.freshness.note_newest(asked_at - *update.configuration_age);
+        }
         view.upstreams.extend_grace(base::monotonic_clock::now(), update.grace_left);
         if (update.complete) {
             this->apply_listing(update.upstreams.put);
--- /dev/null
+++ b/linnetlane/router/request_authentication.h
@@ -0,0 +1,66 @@
+// Decides which account a request runs for, and whether it may be sent to upstreams.
+
+#ifndef LINNETLANE_ROUTER_REQUEST_AUTHENTICATION_H_
+#define LINNETLANE_ROUTER_REQUEST_AUTHENTICATION_H_
+
+#include <optional>
+
+#include "linnetlane/base/account_key.h"
+#include "linnetlane/base/time.h"
+#include "linnetlane/router/messages.h"
+#include "linnetlane/router/settings.h"
+#include "linnetlane/routing/configuration.h"
+#include "linnetlane/routing/configuration_freshness.h"
+
+namespace linnetlane::router {
+
+// Returns why a request on `route` that runs for an account may not be sent to an upstream now, if
+// so: a key may have been taken away in a newer configuration.
+[[nodiscard]] inline auto freshness_refusal(account_settings const& settings,
+                                            routing::configuration const& configuration,
+                                            routing::route const& route,
+                                            routing::configuration_freshness const& freshness)
+    -> std::optional<refusal_reason> {
+    auto const bound = settings.revocation_bound;
+    if (!bound || !configuration.requires_keys || route.open_to_all ||
+        freshness.is_within(*bound, base::boot_clock::now())) {
+        return std::nullopt;
+    }
+    return refusal_reason::configuration_too_old;
+}
+
+// Assigns the account to `request`, and removes the key from what is forwarded. Returns the reason
+// for a refusal if the request may not run. Without accounts, changes nothing. A request whose key
+// another host has checked carries only its digest.
+template <router_wire Wire>
+[[nodiscard]] auto authenticate(caller_request& request,
+                                routing::configuration const& configuration,
+                                routing::route const& route, account_settings const& settings,
+                                routing::configuration_freshness const& freshness)
+    -> std::optional<refusal_reason> {
+    if (!configuration.requires_keys) {
+        return std::nullopt;
+    }
+    if (!request.key) {
+        if (auto const key = Wire::account_key(request.forwarded)) {
+            request.key = base::digest_of_key(*key);
+        }
+    }
+    auto const* const account = request.key ? configuration.accounts.find(*request.key) : nullptr;
+    request.account = account == nullptr ? std::nullopt : std::optional{account->id};
+    Wire::set_account(request, request.account);
+    if (route.open_to_all) {
+        return std::nullopt;
+    }
+    if (account == nullptr) {
+        auto const is_current =
+            freshness.is_within(settings.current_within, base::boot_clock::now());
+        return !request.key || is_current ? refusal_reason::unknown_key
+                                          : refusal_reason::configuration_too_old;
+    }
+    return freshness_refusal(settings, configuration, route, freshness);
+}
+
+}  // namespace linnetlane::router
+
+#endif  // LINNETLANE_ROUTER_REQUEST_AUTHENTICATION_H_
--- a/linnetlane/router/request_context.h
+++ b/linnetlane/router/request_context.h
@@ -17,6 +17,7 @@
 #include "linnetlane/router/cancellation.h"
 #include "linnetlane/router/messages.h"
 #include "linnetlane/router/peer_codec.h"
+#include "linnetlane/router/request_authentication.h"
 #include "linnetlane/router/router_metrics.h"
 #include "linnetlane/router/routing_view.h"
 #include "linnetlane/router/settings.h"
@@ -113,6 +114,17 @@
         return this->host.view.isolation.is_isolated(now) ||
                this->state().isolation.is_isolated(now);
     }
+    // Returns the account that the request runs for, or null if there are no accounts.
+    [[nodiscard]] auto account() const -> routing::client_account const* {
+        return this->caller.account ? this->configuration->accounts.find(*this->caller.account)
+                                    : nullptr;
+    }
+    // Returns whether the request may be sent to an upstream as far as its key is concerned, which
+    // may have been taken away since the request arrived.
+    [[nodiscard]] auto key_is_valid() const -> bool {
+        return !freshness_refusal(this->host.settings.accounts, *this->configuration, this->route,
+                                  this->host.view.freshness);
+    }
     // Records that a request is sent to an upstream, which counts against its rate limit.
     auto note_request_to(base::upstream_id const& upstream) const -> void {
         this->state().rate_limits.note_sent(upstream, base::monotonic_clock::now());
--- a/linnetlane/router/router_metrics.cpp
+++ b/linnetlane/router/router_metrics.cpp
@@ -70,6 +70,12 @@
             return "prompt_quarantined";
         case refusal_reason::request_quarantined:
             return "request_quarantined";
+        case refusal_reason::unknown_key:
+            return "unknown_key";
+        case refusal_reason::configuration_too_old:
+            return "configuration_too_old";
+        case refusal_reason::quota_exceeded:
+            return "quota_exceeded";
         case refusal_reason::leaving:
             break;
     }
--- a/linnetlane/router/routing_view.h
+++ b/linnetlane/router/routing_view.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <vector>
 
@@ -22,6 +23,7 @@
 #include "linnetlane/router/stream_origins.h"
 #include "linnetlane/routing/admission.h"
 #include "linnetlane/routing/configuration.h"
+#include "linnetlane/routing/configuration_freshness.h"
 #include "linnetlane/routing/fact_board.h"
 #include "linnetlane/routing/generation_pool.h"
 #include "linnetlane/routing/isolation_detector.h"
@@ -121,6 +123,8 @@
     [[nodiscard]] auto try_retry(base::service_id const& id, base::time_point now) -> bool;
 
     routing::route_table routes;
+    // Whether `routes` holds the newest configuration.
+    routing::configuration_freshness freshness;
     routing::upstream_set upstreams;
     std::size_t hosts = assumed_hosts;
     // Serves the hosts that follow this one.
@@ -134,6 +138,8 @@
     peer_directory peers;
     // This host reads the registry itself.
     bool reads_registry = false;
+    // The host that changes come from, if it is another one.
+    std::optional<host_entry> source;
     // The other hosts that read the registry, of all data centres.
     std::vector<host_entry> other_readers;
     // What this host and others have observed.
--- a/linnetlane/router/settings.cpp
+++ b/linnetlane/router/settings.cpp
@@ -53,6 +53,27 @@
     }
 }
 
+auto read_accounts(toml_reader& reader, account_settings& target) -> void {
+    auto strict = false;
+    reader.read("strict_revocation", strict);
+    auto bound = base::duration::zero();
+    read_positive(reader, "revocation_bound", bound);
+    if (strict && bound > base::duration::zero()) {
+        target.revocation_bound = bound;
+    } else if (strict) {
+        reader.report(toml_fault::missing_key, "revocation_bound", "needed for strict revocation");
+    }
+    read_positive(reader, "current_within", target.current_within);
+}
+
+auto read_quotas(toml_reader& reader, quota_settings& target) -> void {
+    read_positive(reader, "window", target.window);
+    read_share(reader, "overage", target.overage);
+    if (reader.read("slack", target.slack) && target.slack < 0) {
+        reader.report(toml_fault::out_of_bounds, "slack", "expected 0 or more");
+    }
+}
+
 auto read_all(toml_reader& reader, router_settings& target) -> void {
     reader.require("host", target.host);
     reader.require("data_centre", target.data_centre);
@@ -79,6 +100,9 @@
     reader.read_table("generation", [&](toml_reader& generation) {
         read_generation(generation, target.generation);
     });
+    reader.read_table("accounts",
+                      [&](toml_reader& accounts) { read_accounts(accounts, target.accounts); });
+    reader.read_table("quotas", [&](toml_reader& quotas) { read_quotas(quotas, target.quotas); });
     reader.read_table(
         "log", [&](toml_reader& log) { log.read_word("level", target.log.level, log_levels); });
 }
--- a/linnetlane/router/settings.h
+++ b/linnetlane/router/settings.h
@@ -48,6 +48,26 @@
     double output_margin = 1.9;
 };
 
+// How the keys of client accounts are checked.
+struct account_settings {
+    // The longest time after which a key that was taken away opens nothing on any host. Without it,
+    // hosts that can't learn of changes go on with the configuration that they have.
+    std::optional<base::duration> revocation_bound;
+    // A key that the configuration in force doesn't hold is unknown only if that configuration was
+    // the newest one within this time; an older one may lack the key.
+    base::duration current_within = std::chrono::milliseconds{1500};
+};
+
+// The tolerance within which hosts together keep the quotas of accounts.
+struct quota_settings {
+    // The time over which the work of an account is counted.
+    base::duration window = std::chrono::seconds{8};
+    // The work beyond the quota that is tolerated within the window, as a share of the quota.
+    base::fraction overage{0.0};
+    // The work that is tolerated in addition, in the unit of the quota.
+    double slack = 0;
+};
+
 struct router_settings {
     base::host_id host;
     base::data_centre_id data_centre;
@@ -60,6 +80,8 @@
     routing::retry_budget_limits retries;
     leaving_settings leaving;
     generation_settings generation;
+    account_settings accounts;
+    quota_settings quotas;
     // The minimum time between the orders of two successive order givers.
     base::duration order_lease = std::chrono::seconds{3};
     // The whole fleet is started for the first time, so there is no previous order giver.
--- a/linnetlane/routing/configuration.h
+++ b/linnetlane/routing/configuration.h
@@ -20,6 +20,7 @@
 #include "linnetlane/base/ids.h"
 #include "linnetlane/base/time.h"
 #include "linnetlane/base/units.h"
+#include "linnetlane/routing/client_accounts.h"
 
 namespace linnetlane::routing {
 
@@ -66,6 +67,8 @@
     int priority = 0;
     // The number of times that one request may be executed by upstreams.
     std::size_t max_attempts = 1;
+    // Requests need no key.
+    bool open_to_all = false;
     friend auto operator==(route const&, route const&) -> bool = default;
 };
 
@@ -107,6 +110,9 @@
     std::vector<route> routes;
     std::map<base::service_id, service> services;
     caller_limits limits;
+    // Requests need the key of one of the accounts, except on routes that are open to all.
+    bool requires_keys = false;
+    client_accounts accounts;
     friend auto operator==(configuration const&, configuration const&) -> bool = default;
 };
 
--- a/linnetlane/service/callers.cpp
+++ b/linnetlane/service/callers.cpp
@@ -1,20 +1,16 @@
 #include "linnetlane/service/callers.h"
 
 #include <algorithm>
-#include <cctype>
 #include <cstddef>
 
 #include <fmt/format.h>
 #include <openssl/crypto.h>
 
-#include "linnetlane/base/sha256.h"
-
 namespace linnetlane::service {
 
 namespace {
 
 constexpr auto anonymous = std::string_view{"anonymous"};
-constexpr auto bearer_prefix = std::string_view{"bearer "};
 
 auto equal_in_constant_time(std::string_view left, std::string_view right) -> bool {
     return left.size() == right.size() &&
@@ -50,19 +46,7 @@
 }  // namespace
 
 auto hash_key(std::string_view key) -> std::string {
-    return base::sha256_hex(key);
-}
-
-auto bearer_key(std::string_view authorization) -> std::optional<std::string_view> {
-    auto const same_letter = [](char left, char right) {
-        return std::tolower(static_cast<unsigned char>(left)) == right;
-    };
-    auto const scheme = authorization.substr(0, bearer_prefix.size());
-    if (!std::equal(scheme.begin(), scheme.end(), bearer_prefix.begin(), bearer_prefix.end(),
-                    same_letter)) {
-        return std::nullopt;
-    }
-    return authorization.substr(bearer_prefix.size());
+    return base::digest_of_key(key).value;
 }
 
 auto requires_keys(document const& asked) -> bool {
--- a/linnetlane/service/callers.h
+++ b/linnetlane/service/callers.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <string_view>
 
+#include "linnetlane/base/account_key.h"
 #include "linnetlane/base/result.h"
 #include "linnetlane/service/document.h"
 
@@ -21,8 +22,7 @@
 // SHA-256 of `key`, 64 lower-case hexadecimal digits.
 [[nodiscard]] auto hash_key(std::string_view key) -> std::string;
 
-// The key in an `Authorization: Bearer KEY` header's value; nullopt for another scheme.
-[[nodiscard]] auto bearer_key(std::string_view authorization) -> std::optional<std::string_view>;
+using base::bearer_key;
 
 // The credentials that a request carries.
 struct credentials {
