Routing: requests are ranked while room is scarce, where the settings ask for it

Cause: priorities of routes and accounts were parsed, and no decision read them. In a burst the memory of decode engines is full, and who finds room is decided by chance and size.

Change: a rank (account's priority, route's, deadline); hosts tell each other for which ranks room is scarce; requests behind those ask one engine and are told when to come back. Setting generation.ranked, off by default.

Ruled out: ranks by work, shares that each host learns alone, patient searches (docs/design/ranking.md).

--- a/linnetlane/router/generation_forwarder.h
+++ b/linnetlane/router/generation_forwarder.h
@@ -40,7 +40,9 @@
     static constexpr auto max_tries = 3;
 
     explicit generation_forwarder(request_context const& own_context)
-        : context{own_context}, relay{own_context}, required{own_context.required} {}
+        : context{own_context}, relay{own_context}, required{own_context.required} {
+        this->rank_request();
+    }
 
     // Returns after the caller has been answered or has left.
     auto run() -> request_result {
@@ -138,11 +140,23 @@
     // ---- Reservation ----
 
     auto reserve() -> std::optional<decode_reservation> {
+        auto const now = base::monotonic_clock::now();
+        auto const candidates = this->context.state().generation.decode_candidates(
+            this->engines_to_ask(now), this->context.host.view.draw(), now, this->required);
+        auto const asked_before = this->engines_asked;
+        auto reserved = this->search(candidates);
+        auto const asked = this->engines_asked - asked_before;
+        if (reserved || this->reservation_failure == attempt_result::no_capacity) {
+            this->note_search(asked, candidates.size(), reserved.has_value());
+        }
+        return reserved;
+    }
+
+    // Asks the candidates for a reservation, one after another.
+    auto search(std::vector<base::upstream_id> const& candidates)
+        -> std::optional<decode_reservation> {
         auto& pool = this->context.state().generation;
         auto& view = this->context.host.view;
-        auto const candidates =
-            pool.decode_candidates(this->context.host.settings.generation.engines_asked,
-                                   view.draw(), base::monotonic_clock::now(), this->required);
         // Until an engine answers that it has no room.
         this->reservation_failure = attempt_result::unreachable;
         auto const reserve_until =
@@ -177,6 +191,45 @@
         return std::nullopt;
     }
 
+    // Ranks the request among others of the service, if their priorities differ and the settings
+    // ask for that.
+    auto rank_request() -> void {
+        auto& view = this->context.host.view;
+        auto const& route = this->context.route;
+        if (this->required || !this->context.host.settings.generation.ranked ||
+            !view.ranks_requests(this->context.service)) {
+            return;
+        }
+        auto const* const account = this->context.account();
+        auto const allowed = this->context.caller.timeout.value_or(route.timeout);
+        this->rank = routing::request_rank{account == nullptr ? 0 : account->priority.value_or(0),
+                                           route.priority,
+                                           this->context.state().callers.is_late(route, allowed)};
+    }
+
+    auto engines_to_ask(base::time_point now) -> std::size_t {
+        auto const most = this->context.host.settings.generation.engines_asked;
+        this->outranked_until =
+            this->rank ? this->context.state().scarcity.outranked_until(*this->rank, now)
+                       : std::nullopt;
+        return this->outranked_until ? std::min(most, routing::narrow_search) : most;
+    }
+
+    // Tells all hosts if the search shows that room is scarce for the rank of the request.
+    auto note_search(std::size_t asked, std::size_t engines, bool found) -> void {
+        if (!this->rank || this->rank->late || this->outranked_until ||
+            !routing::is_hard_search(asked, engines, found)) {
+            return;
+        }
+        auto const now = base::monotonic_clock::now();
+        this->context.host.view.learn(
+            {{{routing::fact_kind::room_scarce, this->context.service.value,
+               routing::to_string(*this->rank)},
+              static_cast<double>(engines),
+              now}},
+            now);
+    }
+
     auto reserve_at(routing::upstream_record engine) -> std::optional<decode_reservation> {
         auto const now = base::monotonic_clock::now();
         this->context.note_sent(engine.address, now);
@@ -655,13 +708,32 @@
         } else if (claims_not_run) {
             auto const paused =
                 this->context.state().generation.paused_for(base::monotonic_clock::now());
-            refused.retry_after =
-                std::max(paused, routing::retry_after(this->context.route.target_latency,
-                                                      this->context.host.view.draw()));
+            refused.retry_after = std::max(paused, this->return_delay());
         }
         return refuse<Wire>(this->context, refused);
     }
 
+    // Returns when a refused caller may expect room. One that is outranked is told to wait until
+    // that is expected to end, as far as its time allows.
+    [[nodiscard]] auto return_delay() const -> base::duration {
+        auto& view = this->context.host.view;
+        auto const soon = routing::retry_after(this->context.route.target_latency, view.draw());
+        if (!this->outranked_until) {
+            return soon;
+        }
+        // A caller whose target can still be met comes back while it can.
+        constexpr auto share_of_time_left = 0.3;
+        auto const now = base::monotonic_clock::now();
+        auto const most = std::chrono::duration_cast<base::duration>(
+            (this->rank->late ? this->context.answer_by - now
+                              : this->context.route.target_latency) *
+            share_of_time_left);
+        // Spread, so that those who return together are few.
+        auto const wait = std::chrono::duration_cast<base::duration>(
+            (*this->outranked_until - now) * (0.5 + view.draw()));
+        return std::max(soon, std::min(wait, most));
+    }
+
     [[nodiscard]] auto software_of(base::upstream_id const& engine) const
         -> base::software_version {
         auto const* const record = this->context.host.view.upstreams.find(engine);
@@ -690,6 +762,7 @@
              {"prompt_tokens", this->prompt()},
              {"reserved_tokens", this->reserved_tokens()},
              {"engines_asked", static_cast<std::int64_t>(this->engines_asked)},
+             {"outranked", this->outranked_until.has_value()},
              {"prefills", static_cast<std::int64_t>(this->prefills)},
              telemetry::field::named("prefilled_at", this->prefilled_at),
              telemetry::field::named("decoded_at", this->decoded_at),
@@ -705,6 +778,10 @@
 
     request_context const& context;
     stream_relay<Wire> relay;
+    // The rank among the requests of the service, if they are ranked.
+    std::optional<routing::request_rank> rank;
+    // Until when room is scarce for requests that rank before this one; not set if it isn't.
+    std::optional<base::time_point> outranked_until;
     // The software version that began the stream, if it has begun. It may go on only there.
     std::optional<base::software_version> required;
     std::size_t engines_asked = 0;
--- a/linnetlane/router/peer_codec.cpp
+++ b/linnetlane/router/peer_codec.cpp
@@ -276,7 +276,7 @@
     for (auto& each : in) {
         auto const known =
             each.kind >= static_cast<std::int32_t>(routing::fact_kind::upstream_crash) &&
-            each.kind <= static_cast<std::int32_t>(routing::fact_kind::upstream_limit);
+            each.kind <= static_cast<std::int32_t>(routing::fact_kind::room_scarce);
         if (!known || each.subject.empty() || !std::isfinite(each.amount)) {
             continue;
         }
--- a/linnetlane/router/routing_view.cpp
+++ b/linnetlane/router/routing_view.cpp
@@ -86,6 +86,8 @@
         changed = changed || novelty == routing::fact_novelty::changed;
         if (fact.key.kind == routing::fact_kind::upstream_limit) {
             this->apply_rate_limit(fact, now);
+        } else if (fact.key.kind == routing::fact_kind::room_scarce) {
+            this->apply_scarcity(fact, now);
         } else {
             auto const contrary = this->quarantine.apply(fact, now);
             pending.insert(pending.end(), contrary.begin(), contrary.end());
@@ -97,6 +99,14 @@
     }
 }
 
+auto routing_view::apply_scarcity(routing::shared_fact const& fact, base::time_point now) -> void {
+    auto const id = base::service_id{fact.key.subject};
+    auto const rank = routing::parse_rank(fact.key.witness);
+    if (rank && this->ranks_requests(id)) {
+        this->service(id).scarcity.note(*rank, std::min(fact.observed_at, now));
+    }
+}
+
 auto routing_view::apply_rate_limit(routing::shared_fact const& fact, base::time_point now)
     -> void {
     auto const id = base::upstream_id{fact.key.subject};
@@ -122,6 +132,22 @@
     }
 }
 
+auto routing_view::ranks_requests(base::service_id const& id) -> bool {
+    auto const in_force = this->routes.current();
+    if (in_force == nullptr) {
+        return false;
+    }
+    if (this->ranked_version != in_force->version) {
+        this->ranked.clear();
+        this->ranked_version = in_force->version;
+    }
+    auto const [found, is_new] = this->ranked.try_emplace(id);
+    if (is_new) {
+        found->second = routing::ranks_requests(*in_force, id);
+    }
+    return found->second;
+}
+
 auto routing_view::try_retry(base::service_id const& id, base::time_point now) -> bool {
     return this->service(id).retries.try_take(this->hosts, now);
 }
--- a/linnetlane/router/routing_view.h
+++ b/linnetlane/router/routing_view.h
@@ -30,6 +30,7 @@
 #include "linnetlane/routing/plain_pool.h"
 #include "linnetlane/routing/prefill_limiter.h"
 #include "linnetlane/routing/request_quarantine.h"
+#include "linnetlane/routing/request_ranking.h"
 #include "linnetlane/routing/retry_budget.h"
 #include "linnetlane/routing/upstream_rate_limits.h"
 #include "linnetlane/routing/upstream_set.h"
@@ -56,6 +57,9 @@
     routing::plain_pool plain;
     routing::generation_pool generation;
     routing::prefill_limiter prefill_limits;
+    // Of requests with different priorities.
+    routing::room_scarcity scarcity;
+    routing::waiting_callers callers;
     routing::retry_budget retries;
     routing::admission_controller admission;
     routing::version_history versions;
@@ -119,6 +123,8 @@
     [[nodiscard]] auto facts_mark() const -> fact_mark {
         return fact_mark{this->process, this->facts.position()};
     }
+    // Returns whether requests of the service are ranked under the configuration in force.
+    [[nodiscard]] auto ranks_requests(base::service_id const& id) -> bool;
     // Takes one retry from the service's budget. Returns false if none is left.
     [[nodiscard]] auto try_retry(base::service_id const& id, base::time_point now) -> bool;
 
@@ -147,6 +153,8 @@
     routing::request_quarantine quarantine;
 
 private:
+    // Applies that room was scarce for a rank of a service.
+    auto apply_scarcity(routing::shared_fact const& fact, base::time_point now) -> void;
     // Applies what an upstream said of the rate that it takes.
     auto apply_rate_limit(routing::shared_fact const& fact, base::time_point now) -> void;
     [[nodiscard]] static auto capacity_of(router_settings const& settings) -> host_capacity {
@@ -164,6 +172,9 @@
     // Identifies this process in its facts' positions.
     std::uint64_t process;
     std::map<base::service_id, std::unique_ptr<service_state>> services;
+    // The services whose requests are ranked under the configuration of that version.
+    std::map<base::service_id, bool> ranked;
+    routing::configuration_version ranked_version;
 };
 
 }  // namespace linnetlane::router
--- a/linnetlane/router/settings.cpp
+++ b/linnetlane/router/settings.cpp
@@ -48,6 +48,7 @@
     if (reader.read("engines_asked", target.engines_asked) && target.engines_asked == 0) {
         reader.report(toml_fault::out_of_bounds, "engines_asked", "expected 1 or more");
     }
+    reader.read("ranked", target.ranked);
     if (reader.read("output_margin", target.output_margin) && target.output_margin <= 0) {
         reader.report(toml_fault::out_of_bounds, "output_margin", "expected more than 0");
     }
--- a/linnetlane/router/settings.h
+++ b/linnetlane/router/settings.h
@@ -46,6 +46,9 @@
     std::size_t engines_asked = 48;
     // The memory reserved for an answer, as a multiple of its expected length.
     double output_margin = 1.9;
+    // While decode memory is scarce for urgent requests, those that rank behind them ask few
+    // engines. Applies to services whose routes or accounts differ in priority.
+    bool ranked = false;
 };
 
 // How the keys of client accounts are checked.
--- a/linnetlane/routing/configuration.h
+++ b/linnetlane/routing/configuration.h
@@ -112,7 +112,7 @@
     caller_limits limits;
     // Requests need the key of one of the accounts, except on routes that are open to all.
     bool requires_keys = false;
-    client_accounts accounts;
+    client_accounts accounts = {};
     friend auto operator==(configuration const&, configuration const&) -> bool = default;
 };
 
--- a/linnetlane/routing/fact_board.cpp
+++ b/linnetlane/routing/fact_board.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "linnetlane/routing/request_ranking.h"
+
 namespace linnetlane::routing {
 
 namespace {
@@ -21,6 +23,8 @@
             return std::chrono::minutes{10};
         case fact_kind::answered:
             return std::chrono::minutes{1};
+        case fact_kind::room_scarce:
+            return room_scarcity::lifetime;
         case fact_kind::upstream_limit:
             break;
     }
--- a/linnetlane/routing/fact_board.h
+++ b/linnetlane/routing/fact_board.h
@@ -39,6 +39,9 @@
     // The requests per second that an upstream takes from all hosts together; negative if it names
     // no limit any more.
     upstream_limit = 4,
+    // Room at the upstreams of a service was scarce. The subject is the service, the witness the
+    // rank of the requests that found it so.
+    room_scarce = 5,
 };
 
 // The value of `fact_kind::upstream_limit` for an upstream that names no limit.
