--- a/linnetlane/routing/configuration.cpp
+++ b/linnetlane/routing/configuration.cpp
@@ -7,14 +7,10 @@
 
 namespace linnetlane::routing {
 
-namespace {
-
-auto without_port(std::string_view host) -> std::string {
+auto normalized_host(std::string_view host) -> std::string {
     return boost::algorithm::to_lower_copy(std::string{host.substr(0, host.find(':'))});
 }
 
-}  // namespace
-
 auto route_table::offer(std::shared_ptr<configuration const> offered) -> bool {
     if (this->in_force && offered->version <= this->in_force->version) {
         return false;
@@ -22,7 +18,7 @@
     this->in_force = std::move(offered);
     this->by_host.clear();
     for (auto const& one : this->in_force->routes) {
-        this->by_host[without_port(one.host)].push_back(&one);
+        this->by_host[normalized_host(one.host)].push_back(&one);
     }
     for (auto& [host, routes] : this->by_host) {
         std::ranges::stable_sort(routes, [](route const* left, route const* right) {
@@ -37,7 +33,7 @@
 }
 
 auto route_table::match(std::string_view host, std::string_view target) const -> route const* {
-    auto const found = this->by_host.find(without_port(host));
+    auto const found = this->by_host.find(normalized_host(host));
     if (found == this->by_host.end()) {
         return nullptr;
     }
--- a/linnetlane/routing/configuration.h
+++ b/linnetlane/routing/configuration.h
@@ -135,6 +135,9 @@
     std::map<std::string, std::vector<route const*>, std::less<>> by_host;
 };
 
+// Returns `host` as routes are matched by: without its port and in lower case.
+[[nodiscard]] auto normalized_host(std::string_view host) -> std::string;
+
 // Chooses a target of `chosen` at random by weight, for a `draw` from [0, 1). Returns null if the
 // route has no targets.
 [[nodiscard]] auto choose_target(route const& chosen, double draw) -> base::service_id const*;
