Operators see client accounts, and check a configuration before they send it

GET /accounts lists, for each account of the configuration in force, its name, number of keys, priority, quota, the level of this host's bucket, and requests and refusals by cause; and for the host the version, its freshness, who keeps its quotas, and its share. No key and no digest is on it. linnetctl accounts shows the page. The daemon's own interface answers it with not_found.

Metrics name at most 20 accounts and count the others as other. Names for all accounts were ruled out for their number (docs/design/accounts.md).

linnetctl check reads a file by platform/documents.h, which main passes to the commands as a function, and prints the findings and differences; 0 without findings, 8 with warnings, 2 with errors.

--- a/linnetlane/ctl/all_commands.cpp
+++ b/linnetlane/ctl/all_commands.cpp
@@ -1,6 +1,7 @@
 #include "linnetlane/ctl/all_commands.h"
 
 #include "linnetlane/ctl/capacity_command.h"
+#include "linnetlane/ctl/check_command.h"
 #include "linnetlane/ctl/completion.h"
 #include "linnetlane/ctl/explain_command.h"
 #include "linnetlane/ctl/fleet_commands.h"
@@ -30,8 +31,8 @@
 
 auto all_commands() -> std::vector<command> {
     auto commands = std::vector<command>{};
-    for (auto const& group : {service_commands(), fleet_commands(), capacity_commands(),
-                              explain_commands(), completion_commands()}) {
+    for (auto const& group : {service_commands(), fleet_commands(), check_commands(),
+                              capacity_commands(), explain_commands(), completion_commands()}) {
         commands.insert(commands.end(), group.begin(), group.end());
     }
     return commands;
--- a/linnetlane/ctl/command.cpp
+++ b/linnetlane/ctl/command.cpp
@@ -23,7 +23,7 @@
 constexpr auto host_variable = "LINNETLANE_HOST";
 constexpr auto exit_code_help = std::string_view{
     "Exit codes: 0 done, 1 refused by the host, 2 usage or invalid file, 3 conflict,\n"
-    "4 no host answered, 5 outcome unknown, 6 not found, 7 differences found.\n"};
+    "4 no host answered, 5 outcome unknown, 6 not found, 7 differences found, 8 warnings.\n"};
 
 auto default_host() -> std::string {
     auto const* const value = std::getenv(host_variable);
--- a/linnetlane/ctl/command.h
+++ b/linnetlane/ctl/command.h
@@ -4,6 +4,7 @@
 #define LINNETLANE_CTL_COMMAND_H_
 
 #include <functional>
+#include <optional>
 #include <ostream>
 #include <span>
 #include <string>
@@ -15,6 +16,7 @@
 
 #include "linnetlane/ctl/exit_code.h"
 #include "linnetlane/ctl/operator_client.h"
+#include "linnetlane/routing/configuration_check.h"
 
 namespace linnetlane::ctl {
 
@@ -24,6 +26,9 @@
     std::ostream* err = nullptr;
     // Returns the transport to a host.
     std::function<transport(base::endpoint const&)> connect;
+    // Reads the text of a router's configuration; nothing if it is none.
+    std::function<std::optional<routing::configuration_draft>(std::string_view)>
+        read_configuration = {};
 };
 
 // The parsed command line of one run of a subcommand.
--- a/linnetlane/ctl/commands_test.cpp
+++ b/linnetlane/ctl/commands_test.cpp
@@ -25,6 +25,30 @@
     return document;
 }
 
+// Reads `VERSION ROUTE TIMEOUT`, with the timeout in seconds.
+auto read_draft(std::string_view text) -> std::optional<routing::configuration_draft> {
+    auto words = std::istringstream{std::string{text}};
+    auto draft = routing::configuration_draft{};
+    auto timeout = 0.0;
+    draft.read.routes.emplace_back();
+    auto& route = draft.read.routes.front();
+    if (!(words >> draft.read.version.value >> route.name.value >> timeout)) {
+        return std::nullopt;
+    }
+    route.host = "api.example";
+    route.prefix = "/a/";
+    route.timeout = base::from_seconds(timeout);
+    route.target_latency = base::from_seconds(1);
+    route.targets.push_back({{"app"}, 1});
+    draft.read.services[{"app"}] = routing::service{};
+    return draft;
+}
+
+auto write_text(char const* path, char const* text) -> std::string {
+    std::ofstream{path} << text;
+    return path;
+}
+
 // A host with canned answers, by `METHOD TARGET`. Any other request fails to connect.
 struct fake_host {
     std::map<std::string, runtime::http_response> answers;
@@ -43,7 +67,8 @@
         auto const connect = [this](base::endpoint const&) -> transport {
             return [this](runtime::http_request const& request) { return this->serve(request); };
         };
-        return run_command_line(all_commands(), words, {&this->out, &this->err, connect});
+        return run_command_line(all_commands(), words,
+                                {&this->out, &this->err, connect, read_draft});
     }
 
     auto serve(runtime::http_request const& request)
@@ -110,6 +135,58 @@
         "Fetch it with `linnetctl service get`, make the change again, and apply the result.\n");
 }
 
+BOOST_AUTO_TEST_CASE(accounts_are_listed_as_the_host_sees_them) {
+    auto host = fake_host{};
+    auto list = account_list{{"h1"}, 7, 0.25, true, true, std::nullopt, 0.5, {}};
+    list.accounts.push_back(
+        {{"one"}, 2, 3, account_quota_row{"tokens", 500, 90}, 45.5, 12, {{"quota_exceeded", 4}}});
+    list.accounts.push_back({{"two"}, 1, std::nullopt, std::nullopt, std::nullopt, 0, {}});
+    host.answer("GET /accounts", 200, to_json_text(list));
+    BOOST_TEST((host.run({"accounts"}) == exit_code::done));
+    BOOST_TEST(host.out.str() ==
+               "h1: configuration 7, the newest 0.2s ago; quotas kept by this host, share 0.5000\n"
+               "ACCOUNT  KEYS  PRIORITY  UNIT    PER SECOND  BURST  LEVEL  REQUESTS  REFUSED\n"
+               "one      2     3         tokens  500.0       90.0   45.5   12        4 "
+               "quota_exceeded\n"
+               "two      1     -         -       -           -      -      0         -\n");
+    host.out.str("");
+    BOOST_TEST((host.run({"accounts", "--output", "json"}) == exit_code::done));
+    BOOST_TEST((nlohmann::json::parse(host.out.str()) == nlohmann::json(list)));
+}
+
+BOOST_AUTO_TEST_CASE(a_check_tells_fine_files_from_warnings_and_errors) {
+    auto host = fake_host{};
+    auto const fine = write_text("ctl_fine.txt", "5 r 2");
+    BOOST_TEST((host.run({"check", fine}, false) == exit_code::done));
+    BOOST_TEST(host.out.str().empty());
+    auto const doubtful = write_text("ctl_doubtful.txt", "5 r 0.5");
+    BOOST_TEST((host.run({"check", doubtful}, false) == exit_code::warnings));
+    BOOST_TEST(host.out.str() ==
+               "warning: route r: its target latency of 1000 ms is above its timeout of 500 ms\n");
+    auto const wrong = write_text("ctl_wrong.txt", "5 r 0");
+    BOOST_TEST((host.run({"check", wrong}, false) == exit_code::usage));
+    BOOST_TEST((host.run({"check", write_text("ctl_none.txt", "{")}, false) == exit_code::usage));
+    BOOST_TEST((host.run({"check", "ctl_absent.txt"}, false) == exit_code::usage));
+    BOOST_TEST((host.run({"check", fine, "--engines", "app"}, false) == exit_code::usage));
+    BOOST_TEST((host.run({"check", fine, "--engines", "app=3"}, false) == exit_code::done));
+    BOOST_TEST(host.requests.empty());
+}
+
+BOOST_AUTO_TEST_CASE(a_check_shows_what_differs_from_the_configuration_in_force) {
+    auto host = fake_host{};
+    auto const offered = write_text("ctl_offered.txt", "5 r 2");
+    auto const in_force = write_text("ctl_in_force.txt", "4 r 3");
+    BOOST_TEST((host.run({"check", offered, "--in-force", in_force}, false) == exit_code::done));
+    BOOST_TEST(host.out.str() == "~ route r: timeout\n");
+    host.out.str("");
+    BOOST_TEST((host.run({"check", in_force, "--in-force", offered, "-o", "json"}, false) ==
+                exit_code::usage));
+    auto const report = nlohmann::json::parse(host.out.str());
+    BOOST_TEST(report["findings"][0]["where"] == "version");
+    BOOST_TEST(report["changes"][0]["kind"] == "changed");
+    BOOST_TEST(report["changes"][0]["fields"][0] == "timeout");
+}
+
 BOOST_AUTO_TEST_CASE(an_invalid_file_is_not_sent) {
     auto host = fake_host{};
     auto invalid = jobs_document();
--- a/linnetlane/ctl/exit_code.h
+++ b/linnetlane/ctl/exit_code.h
@@ -22,6 +22,8 @@
     // `service diff` found differences, or the `--wait` deadline passed before the change was in
     // force on every host.
     differs = 7,
+    // `check` found warnings and no errors.
+    warnings = 8,
 };
 
 }  // namespace linnetlane::ctl
--- a/linnetlane/ctl/fleet_commands.cpp
+++ b/linnetlane/ctl/fleet_commands.cpp
@@ -15,7 +15,8 @@
     return number ? std::to_string(*number) : "-";
 }
 
-auto id_text(std::optional<base::upstream_id> const& id) -> std::string {
+template <typename Id>
+auto id_text(std::optional<Id> const& id) -> std::string {
     return id ? id->value : "-";
 }
 
@@ -89,6 +90,55 @@
     return table;
 }
 
+auto decimal_text(std::optional<double> number) -> std::string {
+    return number ? fmt::format("{:.1f}", *number) : "-";
+}
+
+auto account_table(account_list const& list) -> text_table {
+    auto table = text_table{{"ACCOUNT", "KEYS", "PRIORITY", "UNIT", "PER SECOND", "BURST", "LEVEL",
+                             "REQUESTS", "REFUSED"},
+                            {}};
+    for (auto const& row : list.accounts) {
+        auto refused = std::string{};
+        for (auto const& [cause, count] : row.refusals) {
+            refused += fmt::format("{}{} {}", refused.empty() ? "" : ", ", count, cause);
+        }
+        auto const& quota = row.quota;
+        table.rows.push_back({row.account.value, std::to_string(row.keys),
+                              number_text(row.priority), quota ? quota->unit : "-",
+                              decimal_text(quota ? std::optional{quota->per_second} : std::nullopt),
+                              decimal_text(quota ? std::optional{quota->burst} : std::nullopt),
+                              decimal_text(row.level), std::to_string(row.requests),
+                              refused.empty() ? "-" : refused});
+    }
+    return table;
+}
+
+// Returns one line about the host, in front of the table.
+auto account_heading(account_list const& list) -> std::string {
+    auto const version =
+        list.version ? fmt::format("configuration {}", *list.version) : "no configuration";
+    auto const age =
+        list.age ? fmt::format("the newest {:.1f}s ago", *list.age) : "not known to be the newest";
+    auto const keeper = list.keeps_quotas ? std::string{"this host"} : id_text(list.keeper);
+    return fmt::format("{}: {}, {}; quotas kept by {}, share {:.4f}\n", list.seen_by.value, version,
+                       age, keeper, list.share);
+}
+
+auto run_accounts(invocation const& run) -> exit_code {
+    auto const result = run.client().call<account_list>(list_accounts{});
+    if (auto const* failure = base::failure_of(result)) {
+        return report_failure(run, *failure);
+    }
+    auto const& list = base::value_of(result);
+    if (run.wants_json()) {
+        run.out() << nlohmann::json(list).dump(2) << '\n';
+    } else {
+        run.out() << account_heading(list) << format_table(account_table(list));
+    }
+    return exit_code::done;
+}
+
 auto run_hosts(invocation const& run) -> exit_code {
     return call_and_print<host_list>(run, list_hosts{}, host_table);
 }
@@ -129,6 +179,16 @@
          true,
          nullptr,
          run_requests},
+        {"accounts",
+         "",
+         {},
+         "List the client accounts, as seen by the called host.",
+         "Of hosts in router mode. Levels, requests and refusals are those of the called host; "
+         "keys\n"
+         "are counted and never shown.\n",
+         true,
+         nullptr,
+         run_accounts},
     };
 }
 
--- a/linnetlane/ctl/operator_api.cpp
+++ b/linnetlane/ctl/operator_api.cpp
@@ -91,6 +91,9 @@
     if (path == "/v1/requests") {
         return list_requests{};
     }
+    if (path == "/accounts") {
+        return list_accounts{};
+    }
     if (path == "/healthz") {
         return check_health{};
     }
@@ -176,6 +179,9 @@
             [](list_requests const&) -> request_line {
                 return {"GET", "/v1/requests"};
             },
+            [](list_accounts const&) -> request_line {
+                return {"GET", "/accounts"};
+            },
             [](check_health const&) -> request_line {
                 return {"GET", "/healthz"};
             },
--- a/linnetlane/ctl/operator_api.h
+++ b/linnetlane/ctl/operator_api.h
@@ -11,6 +11,7 @@
 #define LINNETLANE_CTL_OPERATOR_API_H_
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -49,15 +50,18 @@
 struct list_hosts {};
 struct list_upstreams {};
 struct list_requests {};
+// Of a host in router mode.
+struct list_accounts {};
 // Liveness: whether the process works.
 struct check_health {};
 // Readiness: whether the load balancer may send callers to this host.
 struct check_readiness {};
 struct get_metrics {};
 
-using operator_call = std::variant<list_services, get_service, apply_service, remove_service,
-                                   get_history, get_status, list_hosts, list_upstreams,
-                                   list_requests, check_health, check_readiness, get_metrics>;
+using operator_call =
+    std::variant<list_services, get_service, apply_service, remove_service, get_history, get_status,
+                 list_hosts, list_upstreams, list_requests, list_accounts, check_health,
+                 check_readiness, get_metrics>;
 
 // Method and target of an HTTP request.
 struct request_line {
@@ -313,6 +317,72 @@
     static constexpr auto fields = std::tuple{json_field{"requests", &request_list::requests}};
 };
 
+// Amounts are in `unit`.
+struct account_quota_row {
+    // `requests` or `tokens`.
+    std::string unit;
+    double per_second = 0;
+    double burst = 0;
+
+    static constexpr auto fields =
+        std::tuple{json_field{"unit", &account_quota_row::unit},
+                   json_field{"per_second", &account_quota_row::per_second},
+                   json_field{"burst", &account_quota_row::burst}};
+};
+
+// A client account. Contains no key and no digest of one.
+struct account_row {
+    base::caller_id account;
+    // The number of its keys.
+    std::uint64_t keys = 0;
+    // Nothing if that of routes applies.
+    std::optional<int> priority;
+    // Nothing if the account isn't limited.
+    std::optional<account_quota_row> quota;
+    // What can be taken from this host's bucket now, in the unit of the quota; may be below zero.
+    // Nothing without a quota, or if another host keeps it.
+    std::optional<double> level;
+    // Requests that ended, and those refused by cause, since the host started. Each request counts
+    // at the host that received it.
+    std::uint64_t requests = 0;
+    std::map<std::string, std::uint64_t> refusals;
+
+    static constexpr auto fields = std::tuple{json_field{"account", &account_row::account},
+                                              json_field{"keys", &account_row::keys},
+                                              json_field{"priority", &account_row::priority},
+                                              json_field{"quota", &account_row::quota},
+                                              json_field{"level", &account_row::level},
+                                              json_field{"requests", &account_row::requests},
+                                              json_field{"refusals", &account_row::refusals}};
+};
+
+// The accounts of the configuration in force at the answering host.
+struct account_list {
+    base::host_id seen_by;
+    // Nothing before the first configuration.
+    std::optional<std::uint64_t> version;
+    // Seconds since the configuration was known to be the newest one; nothing if it never was.
+    std::optional<double> age;
+    bool requires_keys = false;
+    // Whether requests of this host take from its own buckets.
+    bool keeps_quotas = false;
+    // The host that keeps the quotas otherwise.
+    std::optional<base::host_id> keeper;
+    // The share of all quotas that fills this host's buckets, from 0 to 1.
+    double share = 0;
+    std::vector<account_row> accounts;
+
+    static constexpr auto fields =
+        std::tuple{json_field{"seen_by", &account_list::seen_by},
+                   json_field{"version", &account_list::version},
+                   json_field{"age_seconds", &account_list::age},
+                   json_field{"requires_keys", &account_list::requires_keys},
+                   json_field{"keeps_quotas", &account_list::keeps_quotas},
+                   json_field{"keeper", &account_list::keeper},
+                   json_field{"share", &account_list::share},
+                   json_field{"accounts", &account_list::accounts}};
+};
+
 // Answer to `check_health` and `check_readiness`.
 struct health {
     bool ready = false;
--- a/linnetlane/ctl/operator_api_test.cpp
+++ b/linnetlane/ctl/operator_api_test.cpp
@@ -11,7 +11,7 @@
 
 BOOST_AUTO_TEST_CASE(every_call_round_trips_through_method_and_target) {
     auto const service = base::service_id{"finding"};
-    auto const calls = std::array<operator_call, 12>{
+    auto const calls = std::array<operator_call, 13>{
         list_services{},
         get_service{service},
         apply_service{service, base::generation{3}},
@@ -21,6 +21,7 @@
         list_hosts{},
         list_upstreams{},
         list_requests{},
+        list_accounts{},
         check_health{},
         check_readiness{},
         get_metrics{}};
--- a/linnetlane/daemon/operator_service.cpp
+++ b/linnetlane/daemon/operator_service.cpp
@@ -302,6 +302,12 @@
     return ok_response(list);
 }
 
+auto operator_service::answer(ctl::list_accounts const& /*call*/, std::string const& /*body*/)
+    -> runtime::http_response {
+    return error_response(
+        make_error(ctl::api_failure::not_found, "only hosts in router mode list client accounts"));
+}
+
 auto operator_service::answer(ctl::list_requests const& /*call*/, std::string const& /*body*/)
     -> runtime::http_response {
     return ok_response(ctl::request_list{this->dependencies.requests()});
--- a/linnetlane/daemon/operator_service.h
+++ b/linnetlane/daemon/operator_service.h
@@ -88,6 +88,8 @@
         -> runtime::http_response;
     [[nodiscard]] auto answer(ctl::list_upstreams const& call, std::string const& body)
         -> runtime::http_response;
+    [[nodiscard]] auto answer(ctl::list_accounts const& call, std::string const& body)
+        -> runtime::http_response;
     [[nodiscard]] auto answer(ctl::list_requests const& call, std::string const& body)
         -> runtime::http_response;
     [[nodiscard]] auto answer(ctl::check_health const& call, std::string const& body)
--- a/linnetlane/router/host.h
+++ b/linnetlane/router/host.h
@@ -14,6 +14,8 @@
 #include <optional>
 #include <utility>
 
+#include "linnetlane/router/account_activity.h"
+#include "linnetlane/router/account_page.h"
 #include "linnetlane/router/fact_publisher.h"
 #include "linnetlane/router/generation_forwarder.h"
 #include "linnetlane/router/host_membership.h"
@@ -53,13 +55,17 @@
           view{this->settings, seed},
           host{own_pool, this->view, this->metrics, this->log, this->settings},
           configurations{this->registry, this->host,
-                         [this](auto const& applied) { this->apply_limits(applied.limits); }},
+                         [this](auto const& applied) {
+                             this->apply_limits(applied.limits);
+                             this->activity.retain(applied.accounts);
+                         }},
           upstreams{this->registry, this->host,
                     [this](auto const& offered) { this->configurations.offer(offered); }},
           membership{this->registry, this->host},
           recorder{this->registry, this->host},
           publisher{this->host},
           quotas{this->host},
+          activity{this->metrics},
           isolation{this->registry, this->host} {}
 
     // Binds the addresses and starts the fibers. Throws `boost::system::system_error` if an address
@@ -144,7 +150,12 @@
             response.status = this->view.ready() && !this->leaving ? 200 : 503;
         } else if (request.method == "GET" && request.target == "/metrics") {
             response.fields.add("Content-Type", "text/plain; version=0.0.4");
+            this->metrics.set_configuration_age(this->view.freshness.age(base::boot_clock::now()));
             response.body = this->metrics.scrape();
+        } else if (request.method == "GET" && request.target == "/accounts") {
+            response.fields.add("Content-Type", "application/json");
+            response.body =
+                ctl::to_json_text(make_account_page(this->host, this->quotas, this->activity));
         } else {
             response.status = 404;
         }
@@ -389,6 +400,10 @@
         if (end.refused) {
             this->metrics.count_refusal(*end.refused);
         }
+        auto const* const account = context.account();
+        if (account != nullptr && !context.from_peer) {
+            this->activity.note_end(account->id, end.outcome, end.refused);
+        }
         this->log.write(
             telemetry::log_level::info, "request ended",
             {context.caller.id,
@@ -466,6 +481,11 @@
         }
         auto const sent = responder.send(response);
         this->metrics.count_refusal(reason);
+        if (caller.account && !from_peer) {
+            this->activity.note_end(*caller.account,
+                                    sent ? request_outcome::refused : request_outcome::caller_left,
+                                    reason);
+        }
         auto const configuration = this->view.routes.current();
         this->log.write(
             telemetry::log_level::info, "request ended",
@@ -491,6 +511,7 @@
     stream_origin_recorder<Registry> recorder;
     fact_publisher publisher;
     quota_service quotas;
+    account_activity activity;
     isolation_watch<Registry, Wire> isolation;
     std::optional<runtime::http_server> callers;
     std::optional<runtime::http_server> operators;
--- a/linnetlane/router/quota_service.h
+++ b/linnetlane/router/quota_service.h
@@ -93,6 +93,34 @@
         auto const* const wait = std::get_if<routing::quota_wait>(&taken);
         return wait == nullptr ? quota_answer{question.amount, {}} : quota_answer{0, wait->wait};
     }
+    // Returns the host that keeps quotas for this one, or nothing if this one keeps them itself or
+    // its keeper can't be reached.
+    [[nodiscard]] auto keeper(base::time_point now) -> std::optional<host_entry> {
+        auto const& source = this->host.view.source;
+        return source && source->peers && !this->is_unreachable(source->host, now) ? source
+                                                                                   : std::nullopt;
+    }
+    // Returns the share of all quotas that this host's buckets get now, from 0 to 1.
+    [[nodiscard]] auto share(base::time_point now) -> double {
+        auto& view = this->host.view;
+        auto shares = std::size_t{1};
+        if (view.reads_registry) {
+            shares += view.feed.followers(now).size();
+        } else if (this->keeper(now)) {
+            shares = 0;
+        }
+        return static_cast<double>(shares) / static_cast<double>(view.hosts);
+    }
+    // Returns what an account, which must have a quota, can take from this host's bucket. Nothing
+    // if another host keeps the quota.
+    [[nodiscard]] auto level(routing::client_account const& account, base::time_point now)
+        -> std::optional<double> {
+        if (this->keeper(now)) {
+            return std::nullopt;
+        }
+        this->refresh_share(now);
+        return this->quotas.level(account, now);
+    }
 
 private:
     [[nodiscard]] static auto tolerance_of(quota_settings const& settings)
@@ -130,14 +158,6 @@
                                          : routing::quota_result{routing::quota_wait{answer->wait}};
     }
 
-    // Returns the host that keeps quotas for this one, or nothing if this one keeps them itself or
-    // its keeper can't be reached.
-    [[nodiscard]] auto keeper(base::time_point now) -> std::optional<host_entry> {
-        auto const& source = this->host.view.source;
-        return source && source->peers && !this->is_unreachable(source->host, now) ? source
-                                                                                   : std::nullopt;
-    }
-
     auto take_here(routing::client_account const& account, double amount) -> routing::quota_result {
         auto const now = base::monotonic_clock::now();
         this->refresh_share(now);
@@ -195,6 +215,12 @@
                  {"status",
                   response == nullptr ? 0 : static_cast<std::int64_t>(response->status)}});
         }
+        if (question.amount > 0) {
+            this->host.metrics.count_quota_question(!answer ? quota_outcome::none
+                                                    : answer->granted < question.amount
+                                                        ? quota_outcome::short_of_work
+                                                        : quota_outcome::granted);
+        }
         return answer;
     }
 
@@ -209,16 +235,9 @@
             return;
         }
         this->next_share = now + share_interval;
-        auto& view = this->host.view;
-        auto shares = std::size_t{1};
-        if (view.reads_registry) {
-            shares += view.feed.followers(now).size();
-        } else if (this->keeper(now)) {
-            shares = 0;
-        }
-        this->quotas.set_share(static_cast<double>(shares) / static_cast<double>(view.hosts), now);
+        this->quotas.set_share(this->share(now), now);
         std::erase_if(this->declined_until, [&](auto const& each) { return each.second <= now; });
-        if (auto const configuration = view.routes.current()) {
+        if (auto const configuration = this->host.view.routes.current()) {
             this->quotas.retain(configuration->accounts);
         }
     }
--- a/linnetlane/router/router_metrics.cpp
+++ b/linnetlane/router/router_metrics.cpp
@@ -1,5 +1,7 @@
 #include "linnetlane/router/router_metrics.h"
 
+#include <limits>
+
 #include <prometheus/text_serializer.h>
 
 namespace linnetlane::router {
@@ -28,8 +30,28 @@
     return prometheus::BuildHistogram().Name(name).Help(help).Register(registry);
 }
 
+auto account_labels(base::caller_id const& account, request_outcome outcome) -> prometheus::Labels {
+    return {{"account", account.value}, {"outcome", to_string(outcome)}};
+}
+
+auto other_labels(request_outcome outcome) -> prometheus::Labels {
+    return {{"account", router_metrics::other_accounts}, {"outcome", to_string(outcome)}};
+}
+
 }  // namespace
 
+auto to_string(quota_outcome outcome) -> char const* {
+    switch (outcome) {
+        case quota_outcome::granted:
+            return "granted";
+        case quota_outcome::short_of_work:
+            return "short";
+        case quota_outcome::none:
+            break;
+    }
+    return "none";
+}
+
 auto to_string(request_kind kind) -> char const* {
     return kind == request_kind::plain ? "plain" : "generation";
 }
@@ -118,7 +140,17 @@
                                   "Requests that are kept away from upstreams.")},
       upstreams_ended{&counters(*this->registry, "linnetlane_upstreams_ended_total",
                                 "Requests that an upstream broke off.")
-                           .Add({})} {}
+                           .Add({})},
+      account_requests{&counters(*this->registry, "linnetlane_account_requests_total",
+                                 "Requests of client accounts by how they ended. Accounts without "
+                                 "a name here are counted as other.")},
+      quota_questions{&counters(*this->registry, "linnetlane_quota_questions_total",
+                                "Questions to the hosts that keep quotas, by answer.")},
+      configuration_age{&gauge(*this->registry, "linnetlane_configuration_age_seconds",
+                               "Since the configuration in force was known to be the newest one; "
+                               "no number if it never was.")} {
+    this->set_configuration_age(std::nullopt);
+}
 
 auto router_metrics::count_request(request_kind kind, request_outcome outcome, base::duration took)
     -> void {
@@ -176,6 +208,36 @@
     this->upstreams_ended->Increment();
 }
 
+auto router_metrics::count_account_request(base::caller_id const& account, request_outcome outcome)
+    -> void {
+    this->account_requests->Add(account_labels(account, outcome)).Increment();
+}
+
+auto router_metrics::count_other_account_request(request_outcome outcome) -> void {
+    this->account_requests->Add(other_labels(outcome)).Increment();
+}
+
+auto router_metrics::forget_account(base::caller_id const& account) -> void {
+    for (auto const outcome : {request_outcome::answered, request_outcome::refused,
+                               request_outcome::cut_off, request_outcome::caller_left}) {
+        auto const labels = account_labels(account, outcome);
+        if (this->account_requests->Has(labels)) {
+            auto& counted = this->account_requests->Add(labels);
+            this->account_requests->Add(other_labels(outcome)).Increment(counted.Value());
+            this->account_requests->Remove(&counted);
+        }
+    }
+}
+
+auto router_metrics::count_quota_question(quota_outcome outcome) -> void {
+    this->quota_questions->Add({{"answer", to_string(outcome)}}).Increment();
+}
+
+auto router_metrics::set_configuration_age(std::optional<base::duration> age) -> void {
+    this->configuration_age->Set(age ? base::to_seconds(*age)
+                                     : std::numeric_limits<double>::quiet_NaN());
+}
+
 auto router_metrics::scrape() const -> std::string {
     return prometheus::TextSerializer{}.Serialize(this->registry->Collect());
 }
--- a/linnetlane/router/router_metrics.h
+++ b/linnetlane/router/router_metrics.h
@@ -1,13 +1,15 @@
 // The Prometheus metrics of the router.
 //
-// Label values come from fixed sets. Routes, callers and upstreams are never labels, so that the
-// size of a scrape is bounded for any configuration.
+// Label values come from fixed sets, except for the names of at most `max_named_accounts` client
+// accounts; the others are counted together as `other`. Routes, other callers and upstreams are
+// never labels, so that the size of a scrape is bounded for any configuration.
 
 #ifndef LINNETLANE_ROUTER_ROUTER_METRICS_H_
 #define LINNETLANE_ROUTER_ROUTER_METRICS_H_
 
 #include <cstddef>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include <prometheus/counter.h>
@@ -15,6 +17,7 @@
 #include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 
+#include "linnetlane/base/ids.h"
 #include "linnetlane/base/time.h"
 #include "linnetlane/base/units.h"
 #include "linnetlane/router/messages.h"
@@ -26,13 +29,27 @@
 // The outcome of a request from the caller's view.
 enum class request_outcome { answered, refused, cut_off, caller_left };
 
+// What the host that was asked for work of a quota answered.
+enum class quota_outcome {
+    granted,
+    // It has less than was asked for.
+    short_of_work,
+    // It gave no answer.
+    none,
+};
+
 [[nodiscard]] auto to_string(request_kind kind) -> char const*;
 [[nodiscard]] auto to_string(request_outcome outcome) -> char const*;
 [[nodiscard]] auto to_string(refusal_reason reason) -> char const*;
+[[nodiscard]] auto to_string(quota_outcome outcome) -> char const*;
 
 // Thread-safe.
 class router_metrics {
 public:
+    static constexpr auto max_named_accounts = std::size_t{20};
+    // The label of the accounts without a name of their own.
+    static constexpr auto const* other_accounts = "other";
+
     router_metrics();
 
     auto count_request(request_kind kind, request_outcome outcome, base::duration took) -> void;
@@ -55,6 +72,19 @@
     // Counts an upstream that broke off a request.
     auto count_upstream_ended() -> void;
 
+    // Counts a request of an account under its name. The caller must bound the number of accounts
+    // that have a name at the same time. An account with the label of the others has none.
+    auto count_account_request(base::caller_id const& account, request_outcome outcome) -> void;
+    // Counts a request of an account without a name.
+    auto count_other_account_request(request_outcome outcome) -> void;
+    // Drops the name of an account; what it counted is added to the others.
+    auto forget_account(base::caller_id const& account) -> void;
+    // Counts a question to the host that keeps quotas, or to another keeper.
+    auto count_quota_question(quota_outcome outcome) -> void;
+    // Sets the time since the configuration in force was known to be the newest one; nothing if it
+    // never was.
+    auto set_configuration_age(std::optional<base::duration> age) -> void;
+
     // Returns all metrics in the Prometheus text format.
     [[nodiscard]] auto scrape() const -> std::string;
 
@@ -75,6 +105,9 @@
     prometheus::Gauge* quarantined_parts;
     prometheus::Gauge* quarantined_requests;
     prometheus::Counter* upstreams_ended;
+    prometheus::Family<prometheus::Counter>* account_requests;
+    prometheus::Family<prometheus::Counter>* quota_questions;
+    prometheus::Gauge* configuration_age;
 };
 
 }  // namespace linnetlane::router
