Quotas: no host takes more than its share, and shares are never counted twice

Cause: a request larger than a bucket was taken from a full one.

Ruled out: drawing lots for requests beyond a share. At 83 hosts and more a share covers a few per cent of a generation, so the lots would admit next to nothing within the bound.

Change: the buckets of all hosts together hold half of the tolerance beyond the burst, so that one keeper's has room for a generation, and only a request beyond all buckets together leaves a level below zero. Levels fall with the share. The initial level is a quarter of the tolerance instead of a half. A follower counts once it has followed for as long as another host may count it. A keeper borrows for 100 ms at most: three lenders without an answer took 180 ms, longer than followers wait.

Two checks of account_quotas_test encoded the faults and are replaced: that a host with a tenth takes 300 from a bucket of 100 (ten hosts took 2,000 beyond a burst of 1,000), now that it doesn't, and that the debt is paid off with the whole share; and that a level stays when the share falls, now that it falls. peers_test didn't compile, since an initializer of a configuration lacked the accounts.

The lag of the number of hosts, lost answers and cuts without a bound on freshness are checked too.

--- a/linnetlane/router/peers_test.cpp
+++ b/linnetlane/router/peers_test.cpp
@@ -325,7 +325,12 @@
     feed.restart(registry_position{10});
     feed.extend_validity(base::time_point::max());
     auto const in_force = std::make_shared<routing::configuration const>(
-        routing::configuration{routing::configuration_version{5}, {}, {}, {}});
+        routing::configuration{.version = routing::configuration_version{5},
+                               .routes = {},
+                               .services = {},
+                               .limits = {},
+                               .requires_keys = false,
+                               .accounts = {}});
     feed.publish(in_force);
     auto const includes = [&](std::uint64_t version) {
         auto const answer =
@@ -361,6 +366,22 @@
     BOOST_TEST(!feed.has_followers(start + registry_feed::follower_window * 2));
 }
 
+BOOST_AUTO_TEST_CASE(a_follower_is_settled_once_another_host_no_longer_counts_it) {
+    constexpr auto second = base::duration{std::chrono::seconds{1}};
+    auto before = registry_feed{};
+    auto after = registry_feed{};
+    before.note_follower(relay("h1", 120), start);
+    after.note_follower(relay("h1", 120), start + second / 2);
+    for (auto at = start + second; at < start + 4 * second; at += second / 2) {
+        after.note_follower(relay("h1", 120), at);
+        BOOST_TEST(before.followers(at).size() + after.settled_followers(at) <= 1U);
+    }
+    BOOST_TEST(after.settled_followers(start + 4 * second) == 1U);
+    // After a time without questions it may have followed another host.
+    after.note_follower(relay("h1", 120), start + 9 * second);
+    BOOST_TEST(after.settled_followers(start + 9 * second) == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(a_forwarded_request_survives_the_wire) {
     BOOST_TEST(rc::check([](std::string const& body) {
         auto sent = runtime::http_request{"POST", "/p/x?y=1", {}, body};
--- a/linnetlane/router/quota_service.h
+++ b/linnetlane/router/quota_service.h
@@ -26,6 +26,8 @@
     // Includes the time in which the keeper asks others.
     static constexpr auto keeper_timeout = std::chrono::milliseconds{150};
     static constexpr auto lender_timeout = std::chrono::milliseconds{60};
+    // A keeper asks others for no longer than this, so that its followers don't take it for lost.
+    static constexpr auto borrowing_timeout = std::chrono::milliseconds{100};
     // How long a host that gave no answer is left alone.
     static constexpr auto unreachable_pause = std::chrono::milliseconds{500};
     // How long a keeper that had nothing to lend for an account isn't asked for it again.
@@ -155,11 +157,12 @@
         // A copy, since the list may change while others are asked.
         auto const readers = this->host.view.other_readers;
         auto const least = base::to_seconds(borrowed_time) * account.quota->per_second;
+        auto const ask_until = base::monotonic_clock::now() + borrowing_timeout;
         for (auto asked = std::size_t{0}; asked < readers.size(); ++asked) {
             auto const& reader = readers[(this->next_lender + asked) % readers.size()];
             auto const now = base::monotonic_clock::now();
             auto const missing = this->quotas.missing(account, amount, now);
-            if (missing <= 0) {
+            if (missing <= 0 || now >= ask_until) {
                 return;
             }
             auto const declined = this->declined_until.find({reader.host, account.id});
@@ -167,8 +170,9 @@
                 this->is_unreachable(reader.host, now)) {
                 continue;
             }
-            auto const answer = this->ask(
-                reader, this->question_for(account, std::max(missing, least)), lender_timeout);
+            auto const answer =
+                this->ask(reader, this->question_for(account, std::max(missing, least)),
+                          std::min<base::duration>(lender_timeout, ask_until - now));
             auto const lent = answer ? answer->granted : 0.0;
             this->quotas.borrow(account, lent, base::monotonic_clock::now());
             if (lent < missing) {
@@ -212,7 +216,8 @@
         auto& view = this->host.view;
         auto shares = std::size_t{1};
         if (view.reads_registry) {
-            shares += view.feed.followers(now).size();
+            // Others may still be counted by the host that they followed before.
+            shares += view.feed.settled_followers(now);
         } else if (this->keeper(now)) {
             shares = 0;
         }
--- a/linnetlane/routing/account_quotas.cpp
+++ b/linnetlane/routing/account_quotas.cpp
@@ -7,13 +7,19 @@
 auto account_quotas::set_share(double new_share, base::time_point now) -> void {
     this->share_seconds_before = this->share_seconds(now);
     this->share_since = now;
+    auto const is_smaller = new_share < this->share;
     this->share = std::clamp(new_share, 0.0, 1.0);
+    if (is_smaller) {
+        for (auto& [id, each] : this->buckets) {
+            each.level = std::min(each.level, this->share * each.whole);
+        }
+    }
 }
 
 auto account_quotas::take(client_account const& account, double amount, base::time_point now)
     -> quota_result {
     auto& own = this->filled(account, now);
-    auto const needed = std::min(amount, this->capacity(*account.quota));
+    auto const needed = std::min(amount, this->whole_capacity(*account.quota));
     if (own.level >= needed && own.level > 0) {
         own.level -= amount;
         return quota_taken{};
@@ -64,16 +70,14 @@
     auto const seconds = this->share_seconds(now);
     auto const [found, is_new] = this->buckets.try_emplace(account.id);
     auto& own = found->second;
+    auto const whole = this->whole_capacity(quota);
     if (is_new) {
-        auto const per_window =
-            base::to_seconds(this->tolerance.window) * quota.per_second + quota.burst;
-        auto const tolerated = this->tolerance.overage.value * per_window + this->tolerance.slack;
         // An account that has requested nothing since this host started.
-        own = bucket{initial_share * this->share * tolerated, 0, quota.burst};
+        own = bucket{initial_share * this->share * this->tolerated(quota), 0, whole};
     }
-    if (own.burst != quota.burst) {
+    if (own.whole != whole) {
         own.level = std::min(own.level, this->capacity(quota));
-        own.burst = quota.burst;
+        own.whole = whole;
     }
     auto const added = std::max(seconds - own.filled_at, 0.0) * quota.per_second;
     // Borrowed work may exceed the capacity until it is taken.
--- a/linnetlane/routing/account_quotas.h
+++ b/linnetlane/routing/account_quotas.h
@@ -49,7 +49,10 @@
 public:
     // The share of the tolerance with which the buckets of all hosts together begin. A host that
     // restarts doesn't know what it has granted before.
-    static constexpr auto initial_share = 0.5;
+    static constexpr auto initial_share = 0.25;
+    // The share of the tolerance that the buckets of all hosts together hold beyond the burst, so
+    // that the bucket of one keeper has room for a large request.
+    static constexpr auto reserve_share = 0.5;
     // The share of a bucket's level that one other keeper gets.
     static constexpr auto lent_share = 0.5;
     // The longest wait that callers are told.
@@ -57,11 +60,14 @@
 
     explicit account_quotas(quota_tolerance const& own_tolerance) : tolerance{own_tolerance} {}
 
-    // Sets the share of all quotas that fills the buckets from `now` on, from 0 to 1.
+    // Sets the share of all quotas that fills the buckets from `now` on, from 0 to 1. With a
+    // smaller share, levels fall to what it holds, since another host fills the rest.
     auto set_share(double share, base::time_point now) -> void;
 
-    // Takes `amount` for a request of `account`, which must have a quota. An amount beyond the size
-    // of the bucket is taken from a full one, which it leaves below zero.
+    // Takes `amount` for a request of `account`, which must have a quota. An amount beyond what the
+    // buckets of all hosts together can hold is taken from as much, and leaves the level below
+    // zero. Otherwise the level stays above: if each host took one request more than it has, the
+    // work beyond the quota would grow with the number of hosts.
     [[nodiscard]] auto take(client_account const& account, double amount, base::time_point now)
         -> quota_result;
     // Returns how much is missing for `amount`; 0 if nothing is.
@@ -86,8 +92,8 @@
         double level = 0;
         // `share_seconds` when the bucket was filled.
         double filled_at = 0;
-        // The burst of the quota at that time.
-        double burst = 0;
+        // The most that the buckets of all hosts together held at that time.
+        double whole = 0;
     };
 
     // Returns the integral of the share over time, in seconds of the whole quota.
@@ -97,9 +103,19 @@
     }
     // Returns the bucket of `account`, filled up to `now`.
     auto filled(client_account const& account, base::time_point now) -> bucket&;
+    // Returns the work beyond the quota that is tolerated within a window.
+    [[nodiscard]] auto tolerated(account_quota const& quota) const -> double {
+        auto const per_window =
+            base::to_seconds(this->tolerance.window) * quota.per_second + quota.burst;
+        return this->tolerance.overage.value * per_window + this->tolerance.slack;
+    }
+    // Returns the most that the buckets of all hosts together fill up to.
+    [[nodiscard]] auto whole_capacity(account_quota const& quota) const -> double {
+        return quota.burst + reserve_share * this->tolerated(quota);
+    }
     // Returns the most that a bucket of the account fills up to.
     [[nodiscard]] auto capacity(account_quota const& quota) const -> double {
-        return this->share * quota.burst;
+        return this->share * this->whole_capacity(quota);
     }
 
     quota_tolerance tolerance;
--- a/linnetlane/routing/account_quotas_model.h
+++ b/linnetlane/routing/account_quotas_model.h
@@ -36,6 +36,8 @@
     double burst_seconds = 1;
     // How long hosts without the registry take requests.
     double freshness_seconds = 5;
+    // By how much the number of hosts may lag behind, as a part of it.
+    double count_lag = 0;
 };
 
 // What was taken, against what the quotas allow.
@@ -44,11 +46,19 @@
     double worst = 0;
     double worst_at = 0;
     std::size_t worst_account = 0;
-    // Tokens that were taken, and those that one bucket for all hosts would have admitted.
-    double taken = 0;
-    double owed = 0;
+    // The tokens of each account that were taken, and those that one bucket for all hosts would
+    // have admitted.
+    std::vector<double> taken;
+    std::vector<double> owed;
     [[nodiscard]] auto admitted() const -> double {
-        return this->owed > 0 ? this->taken / this->owed : 1.0;
+        // More than owed of one account doesn't make up for less of another.
+        auto sum = 0.0;
+        auto all = 0.0;
+        for (auto index = std::size_t{0}; index < this->owed.size(); ++index) {
+            sum += std::min(this->taken[index], this->owed[index]);
+            all += this->owed[index];
+        }
+        return all > 0 ? sum / all : 1.0;
     }
 };
 
@@ -98,12 +108,13 @@
             this->ideal.push_back(this->settings.burst_seconds * rate);
         }
         this->versions.push_back({std::move(accounts), 0, std::nullopt});
+        this->restart_sums();
         this->data_centre_weight.assign(data_centres, 1);
         this->keepers.assign(data_centres, std::nullopt);
         this->keeper_missing_since.assign(data_centres, 0);
         for (auto index = std::size_t{0}; index < this->settings.hosts; ++index) {
             this->hosts.push_back(this->fresh_host(index % data_centres));
-            this->hosts.back().known_hosts = this->settings.hosts;
+            this->hosts.back().known_hosts = 1;
             this->hosts.back().peak_until = 0;
         }
         for (auto index = std::size_t{0}; index < std::min(data_centres, this->hosts.size());
@@ -128,8 +139,8 @@
 
     // Excludes what was taken so far from the sums; the windows are kept.
     auto restart_sums() -> void {
-        this->sums.taken = 0;
-        this->sums.owed = 0;
+        this->sums.taken.assign(this->settings.accounts, 0);
+        this->sums.owed.assign(this->settings.accounts, 0);
     }
 
     auto kill(std::size_t host) -> void {
@@ -162,9 +173,16 @@
             this->cut(index, 1 + data_centre);
         }
     }
+    // Cuts the first `count` hosts, keepers among them, off from the registry only.
+    auto cut_from_registry(std::size_t count) -> void {
+        for (auto index = std::size_t{0}; index < count; ++index) {
+            this->hosts[index].registry_cut = true;
+        }
+    }
     auto heal() -> void {
         for (auto& each : this->hosts) {
             each.group = 0;
+            each.registry_cut = false;
         }
     }
     // Lets another host keep the quotas of a data centre.
@@ -172,7 +190,8 @@
         auto const old = this->keepers[data_centre];
         for (auto index = data_centre; index < this->hosts.size(); index += data_centres) {
             auto const& each = this->hosts[index];
-            if (index != old && each.alive && !each.frozen && each.group == 0) {
+            if (index != old && each.alive && !each.frozen && each.group == 0 &&
+                !each.registry_cut) {
                 this->keepers[data_centre] = index;
                 this->hosts[index].reads = true;
                 if (old) {
@@ -201,6 +220,9 @@
         this->versions.push_back({std::move(accounts), this->now, std::nullopt});
     }
 
+    // Loses this part of the answers of keepers to their followers, as when they come too late.
+    auto lose_answers(double part) -> void { this->lost_answers = part; }
+
     [[nodiscard]] auto size() const -> std::size_t { return this->hosts.size(); }
     [[nodiscard]] auto keeper(std::size_t data_centre) const -> std::optional<std::size_t> {
         return this->keepers[data_centre];
@@ -208,6 +230,11 @@
     [[nodiscard]] auto result() const -> quota_fleet_result const& { return this->sums; }
 
 private:
+    // When a host began to follow another one, and when it ceases to be known as doing so.
+    struct following {
+        double since = 0;
+        double until = std::numeric_limits<double>::lowest();
+    };
     struct member {
         account_quotas quotas;
         std::size_t data_centre = 0;
@@ -218,14 +245,15 @@
         double reads_until = 0;
         // Hosts reach those of the same group only; 0 is the one with the registry.
         std::size_t group = 0;
+        // Reaches hosts, but not the registry.
+        bool registry_cut = false;
         double cut_at = 0;
         double left_at = 0;
         std::size_t known_hosts = assumed_hosts;
         double peak_until = 0;
         double next_share = 0;
         std::optional<std::size_t> follows = std::nullopt;
-        // When hosts that follow this one cease to count.
-        std::map<std::size_t, double> followers = {};
+        std::map<std::size_t, following> followers = {};
         std::map<std::size_t, double> unreachable_until = {};
         std::map<std::pair<std::size_t, std::size_t>, double> declined_until = {};
         std::size_t next_lender = 0;
@@ -247,8 +275,8 @@
     }
 
     [[nodiscard]] auto fresh_host(std::size_t data_centre) const -> member {
-        auto made = member{.quotas = account_quotas{quota_tolerance{std::chrono::seconds{8},
-                                                        base::fraction{overage}, slack}}};
+        auto made = member{.quotas = account_quotas{quota_tolerance{
+                               std::chrono::seconds{8}, base::fraction{overage}, slack}}};
         made.data_centre = data_centre;
         made.peak_until = this->now + assumption_time;
         made.next_share = this->now;
@@ -268,7 +296,8 @@
         return target.alive && !target.frozen && this->hosts[from].group == target.group;
     }
 
-    [[nodiscard]] auto account(member const& own, std::size_t index) const -> client_account const& {
+    [[nodiscard]] auto account(member const& own, std::size_t index) const
+        -> client_account const& {
         return this->versions[own.version].accounts[index];
     }
 
@@ -280,6 +309,8 @@
             auto const since = each.alive ? each.cut_at : each.left_at;
             registered += in_touch || this->now < since + lease ? 1U : 0U;
         }
+        registered -=
+            static_cast<std::size_t>(this->settings.count_lag * static_cast<double>(registered));
         for (auto data_centre = std::size_t{0}; data_centre < data_centres; ++data_centre) {
             this->elect(data_centre);
         }
@@ -295,7 +326,12 @@
             each.follows = std::nullopt;
             if (!each.reads && keeper && *keeper != index && this->reaches(index, *keeper)) {
                 each.follows = keeper;
-                this->hosts[*keeper].followers[index] = this->now + follower_window;
+                auto& known = this->hosts[*keeper].followers;
+                auto& own = known.try_emplace(index).first->second;
+                if (own.until <= this->now) {
+                    own.since = this->now;
+                }
+                own.until = this->now + follower_window;
             }
             if (each.group == 0) {
                 each.version = this->versions.size() - 1;
@@ -311,7 +347,7 @@
     auto elect(std::size_t data_centre) -> void {
         auto const keeper = this->keepers[data_centre];
         if (keeper && this->hosts[*keeper].alive && !this->hosts[*keeper].frozen &&
-            this->hosts[*keeper].group == 0) {
+            this->hosts[*keeper].group == 0 && !this->hosts[*keeper].registry_cut) {
             this->keeper_missing_since[data_centre] = this->now;
         } else if (this->now >= this->keeper_missing_since[data_centre] + takeover) {
             this->replace_keeper(data_centre);
@@ -327,13 +363,16 @@
         auto shares = std::size_t{1};
         if (own.reads) {
             std::erase_if(own.followers,
-                          [&](auto const& each) { return each.second <= this->now; });
-            shares += own.followers.size();
+                          [&](auto const& each) { return each.second.until <= this->now; });
+            shares += static_cast<std::size_t>(
+                std::ranges::count_if(own.followers, [&](auto const& each) {
+                    return each.second.since + follower_window <= this->now;
+                }));
         } else if (this->reachable_keeper(own)) {
             shares = 0;
         }
-        own.quotas.set_share(
-            static_cast<double>(shares) / static_cast<double>(own.known_hosts), at(this->now));
+        own.quotas.set_share(static_cast<double>(shares) / static_cast<double>(own.known_hosts),
+                             at(this->now));
     }
 
     [[nodiscard]] auto reachable_keeper(member const& own) const -> std::optional<std::size_t> {
@@ -349,7 +388,10 @@
         auto& own = this->hosts[index];
         if (auto const keeper = this->reachable_keeper(own)) {
             if (this->reaches(index, *keeper)) {
-                return this->take_here(*keeper, of, amount);
+                auto const taken = this->take_here(*keeper, of, amount);
+                if (!std::bernoulli_distribution{this->lost_answers}(this->random)) {
+                    return taken;
+                }
             }
             own.unreachable_until[*keeper] = this->now + unreachable_pause;
         }
@@ -443,12 +485,12 @@
             auto const serves =
                 each.alive && !each.frozen &&
                 (each.group == 0 || this->now < each.cut_at + this->settings.freshness_seconds);
-            this->weights.push_back(
-                busy && serves ? this->data_centre_weight[each.data_centre] : 0.0);
+            this->weights.push_back(busy && serves ? this->data_centre_weight[each.data_centre]
+                                                   : 0.0);
         }
         this->any_host = std::ranges::any_of(this->weights, [](auto each) { return each > 0; });
-        this->draw_host = std::discrete_distribution<std::size_t>{this->weights.begin(),
-                                                                  this->weights.end()};
+        this->draw_host =
+            std::discrete_distribution<std::size_t>{this->weights.begin(), this->weights.end()};
     }
 
     auto send(std::size_t account, double amount, double tokens) -> void {
@@ -460,10 +502,10 @@
             auto const host = this->draw_host(this->random);
             if (this->ideal[account] >= amount) {
                 this->ideal[account] -= amount;
-                this->sums.owed += amount;
+                this->sums.owed[account] += amount;
             }
             if (this->take(host, account, amount)) {
-                this->sums.taken += amount;
+                this->sums.taken[account] += amount;
                 this->in_window[account] += amount;
                 this->running.push_back({this->now, account, amount});
             }
@@ -524,6 +566,7 @@
     std::vector<double> demand;
     std::vector<double> demand_factor;
     std::vector<double> data_centre_weight;
+    double lost_answers = 0;
     std::size_t busy_first = 0;
     std::size_t busy_count = 0;
     std::vector<double> weights;
--- a/linnetlane/routing/account_quotas_model_test.cpp
+++ b/linnetlane/routing/account_quotas_model_test.cpp
@@ -14,6 +14,8 @@
 
 constexpr auto in_touch = 0.97;
 constexpr auto third_cut = 0.85;
+// Hosts are in touch once they have been undisturbed for this long, in seconds.
+constexpr auto contact = 4.0;
 
 auto check(quota_fleet const& fleet, double least, std::string const& pattern) -> void {
     auto const& result = fleet.result();
@@ -85,16 +87,42 @@
                 fleet.set_demand(account, factor);
                 fleet.cut_hosts(hosts / 3);
                 fleet.run(12);
+                auto const pattern = std::to_string(hosts) + " hosts, a third cut off, account " +
+                                     std::to_string(account) + " at " + std::to_string(factor);
+                check(fleet, third_cut, pattern);
                 fleet.heal();
+                fleet.run(contact);
+                fleet.restart_sums();
                 fleet.run(12);
-                check(fleet, third_cut,
-                      std::to_string(hosts) + " hosts, a third cut off, account " +
-                          std::to_string(account) + " at " + std::to_string(factor));
+                check(fleet, in_touch, pattern + ", afterwards");
             }
         }
     }
 }
 
+BOOST_AUTO_TEST_CASE(with_a_third_of_the_hosts_cut_off_from_the_registry_all_are_admitted) {
+    for (auto const hosts : {9U, 83U, 300U}) {
+        for (auto const factor : {1, 8}) {
+            auto fleet = quota_fleet{{.hosts = hosts}};
+            fleet.run(8);
+            fleet.restart_sums();
+            fleet.set_demand(0, factor);
+            fleet.set_demand(15, factor);
+            fleet.cut_from_registry(hosts / 3);
+            fleet.run(12);
+            auto const pattern = std::to_string(hosts) +
+                                 " hosts, a third without the registry, demand at " +
+                                 std::to_string(factor);
+            check(fleet, third_cut, pattern);
+            fleet.heal();
+            fleet.run(contact);
+            fleet.restart_sums();
+            fleet.run(12);
+            check(fleet, in_touch, pattern + ", afterwards");
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(with_a_data_centre_cut_off_both_sides_are_admitted) {
     for (auto const hosts : {9U, 83U, 300U}) {
         for (auto const factor : {1, 8}) {
@@ -105,11 +133,15 @@
             fleet.set_demand(15, factor);
             fleet.cut_data_centre(1);
             fleet.run(12);
+            auto const pattern = std::to_string(hosts) +
+                                 " hosts, a data centre cut off, demand at " +
+                                 std::to_string(factor);
+            check(fleet, third_cut, pattern);
             fleet.heal();
+            fleet.run(contact);
+            fleet.restart_sums();
             fleet.run(12);
-            check(fleet, third_cut,
-                  std::to_string(hosts) + " hosts, a data centre cut off, demand at " +
-                      std::to_string(factor));
+            check(fleet, in_touch, pattern + ", afterwards");
         }
     }
 }
@@ -130,7 +162,7 @@
             fleet.freeze(*fleet.keeper(1), true);
             fleet.run(6);
             fleet.heal();
-            check(fleet, third_cut,
+            check(fleet, in_touch,
                   std::to_string(hosts) + " hosts, keepers replaced, demand at " +
                       std::to_string(factor));
         }
@@ -138,23 +170,114 @@
 }
 
 BOOST_AUTO_TEST_CASE(restarts_of_all_hosts_grant_no_more) {
-    for (auto const hosts : {1U, 9U, 83U, 300U}) {
-        auto fleet = quota_fleet{{.hosts = hosts}};
-        fleet.run(8);
-        fleet.set_demand(0, 8);
-        fleet.set_demand(15, 8);
-        for (auto turn = 0; turn < 3; ++turn) {
-            for (auto host = std::size_t{0}; host < hosts; ++host) {
+    for (auto const hosts : {1U, 9U, 83U, 300U, 350U}) {
+        for (auto const pause : {0.7, 2.0, 3.5}) {
+            auto fleet = quota_fleet{{.hosts = hosts}};
+            fleet.run(8);
+            fleet.set_demand(0, 0);
+            fleet.set_demand(15, 0);
+            fleet.run(8);
+            // The buckets are full.
+            fleet.set_demand(0, 24);
+            fleet.set_demand(15, 24);
+            fleet.run(6);
+            for (auto turn = 0; turn < 3; ++turn) {
+                for (auto host = std::size_t{0}; host < hosts; ++host) {
+                    fleet.kill(host);
+                }
+                fleet.run(0.1);
+                for (auto host = std::size_t{0}; host < hosts; ++host) {
+                    fleet.start(host);
+                }
+                fleet.run(pause);
+            }
+            // The restarts themselves may cost work.
+            check(fleet, 0, std::to_string(hosts) + " hosts, restarts of all");
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(hosts_that_join_leave_and_freeze_grant_no_more) {
+    for (auto const hosts : {9U, 83U, 300U}) {
+        for (auto const factor : {1, 8}) {
+            auto fleet = quota_fleet{{.hosts = hosts}};
+            fleet.run(8);
+            fleet.restart_sums();
+            fleet.set_demand(0, factor);
+            fleet.set_demand(15, factor);
+            for (auto turn = std::size_t{0}; turn < hosts / 3; ++turn) {
+                fleet.join();
+            }
+            fleet.run(6);
+            for (auto host = hosts / 4; host < hosts / 2; ++host) {
                 fleet.kill(host);
             }
-            fleet.run(0.1);
-            for (auto host = std::size_t{0}; host < hosts; ++host) {
+            fleet.run(6);
+            for (auto host = hosts / 4; host < hosts / 2; ++host) {
                 fleet.start(host);
+                fleet.freeze(host + hosts / 4, true);
+            }
+            fleet.run(6);
+            for (auto host = hosts / 4; host < hosts / 2; ++host) {
+                fleet.freeze(host + hosts / 4, false);
+            }
+            auto const pattern = std::to_string(hosts) +
+                                 " hosts, some join, leave and freeze, demand at " +
+                                 std::to_string(factor);
+            fleet.run(contact);
+            check(fleet, third_cut, pattern);
+            fleet.restart_sums();
+            fleet.run(8);
+            check(fleet, in_touch, pattern + ", afterwards");
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(answers_that_come_too_late_grant_no_more) {
+    for (auto const hosts : {9U, 83U, 300U}) {
+        for (auto const lost : {0.02, 0.3, 0.9}) {
+            auto fleet = quota_fleet{{.hosts = hosts}};
+            fleet.run(8);
+            fleet.restart_sums();
+            fleet.set_demand(0, 8);
+            fleet.set_demand(15, 8);
+            fleet.lose_answers(lost);
+            fleet.run(16);
+            check(fleet, 0,
+                  std::to_string(hosts) + " hosts, answers lost: " + std::to_string(lost));
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_number_of_hosts_that_lags_behind_grants_no_more) {
+    for (auto const hosts : {9U, 83U, 300U}) {
+        auto fleet = quota_fleet{{.hosts = hosts, .count_lag = 0.1}};
+        fleet.run(8);
+        fleet.set_demand(0, 8);
+        fleet.set_demand(15, 8);
+        fleet.run(16);
+        check(fleet, 0, std::to_string(hosts) + " hosts, their number lags");
+    }
+}
+
+BOOST_AUTO_TEST_CASE(cuts_keep_the_quotas_while_hosts_without_the_registry_go_on) {
+    for (auto const hosts : {9U, 83U, 300U}) {
+        for (auto const whole : {false, true}) {
+            auto fleet = quota_fleet{{.hosts = hosts, .freshness_seconds = 1e9}};
+            fleet.run(8);
+            fleet.restart_sums();
+            fleet.set_demand(0, 8);
+            fleet.set_demand(15, 8);
+            if (whole) {
+                fleet.cut_data_centre(1);
+            } else {
+                fleet.cut_hosts(hosts / 3);
             }
-            fleet.run(2);
+            fleet.run(30);
+            check(fleet, third_cut,
+                  std::to_string(hosts) +
+                      (whole ? " hosts, a data centre goes on" : " hosts, a third goes on"));
         }
-        // The restarts themselves may cost work.
-        check(fleet, 0, std::to_string(hosts) + " hosts, restarts of all");
     }
 }
 
@@ -178,7 +301,7 @@
     auto const host = *rc::gen::inRange<std::size_t>(0, fleet.size());
     auto const data_centre = *rc::gen::inRange<std::size_t>(0, quota_fleet::data_centres);
     auto const account = *rc::gen::inRange<std::size_t>(0, 16);
-    switch (*rc::gen::inRange(0, 12)) {
+    switch (*rc::gen::inRange(0, 14)) {
         case 0:
             fleet.kill(host);
             break;
@@ -210,6 +333,12 @@
             fleet.replace_keeper(data_centre);
             break;
         case 10:
+            fleet.cut_from_registry(host);
+            break;
+        case 11:
+            fleet.lose_answers(*rc::gen::element(0.0, 0.02, 0.3));
+            break;
+        case 12:
             fleet.set_quota(account, *rc::gen::element(3'000.0, 18'000.0, 54'000.0));
             break;
         default:
--- a/linnetlane/routing/account_quotas_test.cpp
+++ b/linnetlane/routing/account_quotas_test.cpp
@@ -29,8 +29,8 @@
     BOOST_TEST(quotas.level(one, start) == 0);
     BOOST_TEST(quotas.level(one, after(0.2)) == 100, boost::test_tools::tolerance(1e-9));
     BOOST_TEST(quotas.level(one, after(9)) == 250, boost::test_tools::tolerance(1e-9));
-    quotas.set_share(0.1, after(9));
     BOOST_TEST(is_taken(quotas.take(one, 240, after(9))));
+    quotas.set_share(0.1, after(9));
     BOOST_TEST(quotas.level(one, after(9.1)) == 20, boost::test_tools::tolerance(1e-9));
 }
 
@@ -47,17 +47,53 @@
     BOOST_TEST(is_taken(quotas.take(one, 400, after(1.3))));
 }
 
-BOOST_AUTO_TEST_CASE(a_request_larger_than_the_bucket_is_taken_from_a_full_one_and_paid_off) {
+BOOST_AUTO_TEST_CASE(a_request_larger_than_all_buckets_is_taken_from_full_ones_and_paid_off) {
     auto quotas = account_quotas{{}};
     auto const one = account(1000, 1000);
-    quotas.set_share(0.1, start);
+    quotas.set_share(1, start);
     BOOST_TEST(quotas.level(one, start) == 0);
-    BOOST_TEST(!is_taken(quotas.take(one, 300, after(0.5))));
-    BOOST_TEST(is_taken(quotas.take(one, 300, after(1))));
+    BOOST_TEST(!is_taken(quotas.take(one, 3000, after(0.9))));
+    BOOST_TEST(is_taken(quotas.take(one, 3000, after(1))));
     BOOST_TEST(!is_taken(quotas.take(one, 10, after(2.9))));
     BOOST_TEST(is_taken(quotas.take(one, 10, after(3.2))));
 }
 
+BOOST_AUTO_TEST_CASE(a_host_takes_no_request_beyond_its_share_even_from_a_full_bucket) {
+    // If each of ten hosts did, they would take 3,000 at once.
+    auto quotas = account_quotas{{}};
+    auto const one = account(1000, 1000);
+    quotas.set_share(0.1, start);
+    BOOST_TEST(quotas.level(one, start) == 0);
+    BOOST_TEST(!is_taken(quotas.take(one, 300, after(9))));
+    BOOST_TEST(is_taken(quotas.take(one, 100, after(9))));
+    BOOST_TEST(!is_taken(quotas.take(one, 1, after(9))));
+}
+
+BOOST_AUTO_TEST_CASE(the_buckets_of_all_hosts_hold_a_part_of_the_tolerance_beyond_the_burst) {
+    auto const tolerance = quota_tolerance{std::chrono::seconds{8}, base::fraction{0.1}, 100};
+    auto quotas = account_quotas{tolerance};
+    auto const one = account(1000, 1000);
+    quotas.set_share(0.25, start);
+    static_cast<void>(quotas.level(one, start));
+    auto const tolerated = 0.1 * 9000 + 100;
+    BOOST_TEST(
+        quotas.level(one, after(9)) == 0.25 * (1000 + account_quotas::reserve_share * tolerated),
+        boost::test_tools::tolerance(1e-9));
+}
+
+BOOST_AUTO_TEST_CASE(a_host_that_loses_its_share_keeps_nothing_of_it) {
+    auto quotas = account_quotas{{}};
+    auto const one = account(1000, 1000);
+    quotas.set_share(0.25, start);
+    BOOST_TEST(quotas.level(one, start) == 0);
+    BOOST_TEST(quotas.level(one, after(9)) == 250, boost::test_tools::tolerance(1e-9));
+    quotas.set_share(0.1, after(9));
+    BOOST_TEST(quotas.level(one, after(9)) == 100, boost::test_tools::tolerance(1e-9));
+    quotas.set_share(0, after(9));
+    quotas.set_share(0.25, after(10));
+    BOOST_TEST(quotas.level(one, after(10)) == 0);
+}
+
 BOOST_AUTO_TEST_CASE(what_a_keeper_lends_is_its_own_no_longer) {
     auto lender = account_quotas{{}};
     auto borrower = account_quotas{{}};
