--- a/linnetlane/router/peers_test.cpp
+++ b/linnetlane/router/peers_test.cpp
@@ -3,8 +3,11 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cstddef>
+#include <limits>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -12,6 +15,8 @@
 #include <rapidcheck.h>
 #include <boost/test/unit_test.hpp>
 
+#include "linnetlane/protocol/compact_bytes.h"
+#include "linnetlane/protocol/generated/router_types.h"
 #include "linnetlane/router/peer_codec.h"
 #include "linnetlane/router/registry_feed.h"
 
@@ -62,6 +67,39 @@
     return std::chrono::microseconds{*rc::gen::inRange(0, 1'000'000'000)};
 }
 
+auto any_key_digest() -> base::key_digest {
+    return base::digest_of_key(*rc::gen::arbitrary<std::string>());
+}
+
+// The tokens of a request without a size are whole numbers.
+auto any_account(std::size_t index) -> routing::client_account {
+    auto account = routing::client_account{};
+    account.id.value = "account" + std::to_string(index);
+    auto const keys = *rc::gen::inRange(0, 3);
+    for (auto key = 0; key < keys; ++key) {
+        account.keys.push_back(any_key_digest());
+    }
+    if (*rc::gen::arbitrary<bool>()) {
+        account.priority = *rc::gen::inRange(0, 10);
+    }
+    if (*rc::gen::arbitrary<bool>()) {
+        account.quota = routing::account_quota{
+            *rc::gen::element(routing::quota_unit::requests, routing::quota_unit::tokens),
+            *rc::gen::inRange(0, 10'000'000) / 7.0, *rc::gen::inRange(0, 10'000'000) / 7.0,
+            static_cast<double>(*rc::gen::inRange(0, 100'000))};
+    }
+    return account;
+}
+
+auto any_accounts() -> routing::client_accounts {
+    auto listed = std::vector<routing::client_account>{};
+    auto const count = *rc::gen::inRange<std::size_t>(0, 4);
+    for (auto index = std::size_t{0}; index < count; ++index) {
+        listed.push_back(any_account(index));
+    }
+    return routing::client_accounts{std::move(listed)};
+}
+
 auto any_configuration() -> routing::configuration {
     auto made = routing::configuration{};
     made.version.value = *rc::gen::inRange<std::uint64_t>(1, 1'000'000);
@@ -93,6 +131,8 @@
                      {base::service_id{"app"}, {base::service_id{"app"}, 100, std::nullopt}}};
     made.limits.header_bytes = *rc::gen::inRange<std::size_t>(0, 100'000);
     made.limits.idle = any_span();
+    made.requires_keys = *rc::gen::arbitrary<bool>();
+    made.accounts = any_accounts();
     return made;
 }
 
@@ -399,6 +439,68 @@
     }));
 }
 
+BOOST_AUTO_TEST_CASE(the_key_digest_of_a_forwarded_request_survives_the_wire) {
+    BOOST_TEST(rc::check([] {
+        auto const key = *rc::gen::arbitrary<bool>() ? std::optional{any_key_digest()}
+                                                     : std::optional<base::key_digest>{};
+        auto const sent = runtime::http_request{"POST", "/p", {}, "body"};
+        auto const message = make_forward_request(sent, std::chrono::milliseconds{1500}, key);
+        // Hosts that know no accounts don't take requests of accounts.
+        RC_ASSERT(message.target == (key ? keyed_forward_target : forward_target));
+        auto const read = decode_forwarded(message.body);
+        RC_ASSERT(read.has_value());
+        RC_ASSERT(read->key == key);
+        RC_ASSERT(read->request.body == sent.body);
+    }));
+}
+
+BOOST_AUTO_TEST_CASE(questions_and_answers_of_quotas_survive_the_wire) {
+    BOOST_TEST(rc::check([] {
+        auto const question = quota_question{
+            base::caller_id{*rc::gen::nonEmpty<std::string>()},
+            *rc::gen::inRange(-1'000'000, 1'000'000) / 7.0, *rc::gen::arbitrary<bool>(),
+            routing::configuration_version{*rc::gen::inRange<std::uint64_t>(0, 1'000'000)}};
+        auto const request = make_quota_request(question);
+        RC_ASSERT(request.target == quota_target);
+        RC_ASSERT(decode_quota_question(request.body) == question);
+        auto const answer = quota_answer{*rc::gen::inRange(0, 1'000'000) / 7.0, any_span()};
+        RC_ASSERT(decode_quota_answer(encode(answer)) == answer);
+    }));
+}
+
+BOOST_AUTO_TEST_CASE(malformed_questions_and_answers_of_quotas_are_rejected) {
+    auto const nameless = make_quota_request({base::caller_id{}, 1, false, {}});
+    BOOST_TEST(!decode_quota_question(nameless.body).has_value());
+    BOOST_TEST(!decode_quota_question("").has_value());
+    BOOST_TEST(!decode_quota_answer("").has_value());
+    for (auto const amount :
+         {std::numeric_limits<double>::infinity(), -std::numeric_limits<double>::infinity(),
+          std::numeric_limits<double>::quiet_NaN()}) {
+        auto const endless = make_quota_request({base::caller_id{"one"}, amount, false, {}});
+        BOOST_TEST(!decode_quota_question(endless.body).has_value());
+        BOOST_TEST(!decode_quota_answer(encode(quota_answer{amount, {}})).has_value());
+    }
+    BOOST_TEST(rc::check([](std::string const& bytes) {
+        static_cast<void>(decode_quota_question(bytes));
+        static_cast<void>(decode_quota_answer(bytes));
+    }));
+}
+
+BOOST_AUTO_TEST_CASE(a_configuration_without_accounts_from_an_older_host_is_malformed) {
+    // As written by a host that knows no accounts.
+    auto older = peer_wire::configuration{};
+    older.__set_version(5);
+    auto answer = peer_wire::changes_answer{};
+    answer.__set_newer_configuration(older);
+    auto const back = decode_answer(protocol::write_compact(answer));
+    BOOST_REQUIRE(base::failure_of(back) != nullptr);
+    BOOST_TEST((*base::failure_of(back) == registry_failure::malformed));
+    // An empty list is a configuration that has no accounts.
+    older.__set_accounts({});
+    answer.__set_newer_configuration(older);
+    BOOST_TEST(base::succeeded(decode_answer(protocol::write_compact(answer))));
+}
+
 BOOST_AUTO_TEST_CASE(malformed_forwarded_requests_are_rejected) {
     BOOST_TEST(!decode_forwarded("").has_value());
     BOOST_TEST(!decode_forwarded(make_forward_request({"", "/", {}, {}}, {}).body).has_value());
--- a/linnetlane/routing/account_quotas_model_test.cpp
+++ b/linnetlane/routing/account_quotas_model_test.cpp
@@ -296,6 +296,30 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(a_restart_does_not_grant_a_large_burst_again) {
+    for (auto const hosts : {9U, 83U, 300U}) {
+        auto fleet = quota_fleet{{.hosts = hosts, .burst_seconds = 4}};
+        fleet.set_demand(0, 0);
+        fleet.run(8);
+        fleet.set_demand(0, 40);
+        fleet.run(1);
+        for (auto host = std::size_t{0}; host < hosts; ++host) {
+            fleet.kill(host);
+        }
+        fleet.run(0.1);
+        for (auto host = std::size_t{0}; host < hosts; ++host) {
+            fleet.start(host);
+        }
+        // The account sends nothing until the hosts have found each other.
+        fleet.set_demand(0, 0);
+        fleet.run(3.6);
+        fleet.set_demand(0, 40);
+        fleet.run(3);
+        // The restart itself may cost work.
+        check(fleet, 0, std::to_string(hosts) + " hosts, restart between bursts");
+    }
+}
+
 // Applies one operation that was drawn.
 auto disturb(quota_fleet& fleet) -> void {
     auto const host = *rc::gen::inRange<std::size_t>(0, fleet.size());
