Quotas: the model restarts keepers as keepers, and a restart between bursts

Cause: the mutant that grants the burst again after a restart failed only unit tests. In the model a restarted keeper no longer read the registry, so nobody kept quotas after a restart of all hosts; and no pattern emptied a large bucket shortly before a restart.

Change: a restarted keeper is one again, and a pattern restarts all hosts between two bursts of an account whose burst is 8 s of its rate.

--- a/linnetlane/routing/account_quotas_model.h
+++ b/linnetlane/routing/account_quotas_model.h
@@ -349,6 +349,8 @@
         if (keeper && this->hosts[*keeper].alive && !this->hosts[*keeper].frozen &&
             this->hosts[*keeper].group == 0 && !this->hosts[*keeper].registry_cut) {
             this->keeper_missing_since[data_centre] = this->now;
+            // It may have restarted.
+            this->hosts[*keeper].reads = true;
         } else if (this->now >= this->keeper_missing_since[data_centre] + takeover) {
             this->replace_keeper(data_centre);
         }
--- a/linnetlane/routing/account_quotas_model_test.cpp
+++ b/linnetlane/routing/account_quotas_model_test.cpp
@@ -298,9 +298,9 @@
 
 BOOST_AUTO_TEST_CASE(a_restart_does_not_grant_a_large_burst_again) {
     for (auto const hosts : {9U, 83U, 300U}) {
-        auto fleet = quota_fleet{{.hosts = hosts, .burst_seconds = 4}};
+        auto fleet = quota_fleet{{.hosts = hosts, .burst_seconds = 8}};
         fleet.set_demand(0, 0);
-        fleet.run(8);
+        fleet.run(12);
         fleet.set_demand(0, 40);
         fleet.run(1);
         for (auto host = std::size_t{0}; host < hosts; ++host) {
