--- a/linnetlane/routing/client_accounts_test.cpp
+++ b/linnetlane/routing/client_accounts_test.cpp
@@ -67,7 +67,7 @@
         }
         auto const accounts = client_accounts{listed};
         // Copies refer to their own accounts.
-        auto const copy = accounts;
+        auto const copies = std::vector<client_accounts>{accounts};
         for (auto const* const key : {"a", "b", "c", "d", "e", "f", "g", "h"}) {
             auto holders = std::vector<std::string>{};
             for (auto index = std::size_t{0}; index < count; ++index) {
@@ -77,7 +77,7 @@
             }
             auto const expected = holders.size() == 1 ? holders.front() : "";
             RC_ASSERT(name_of(accounts, key) == expected);
-            RC_ASSERT(name_of(copy, key) == expected);
+            RC_ASSERT(name_of(copies.front(), key) == expected);
         }
     }));
 }
