HTTP client: an interim answer is never taken for the final one

Cause: a 1xx answer has no body, so that the parser calls it complete, and the client returned it as the answer. Its caller got the 103, and if no more bytes had been received by then, the connection was kept as idle, open and unread, however many bytes followed. That is how the connection to an upstream that sends interim answers without end stayed open now and then: on a free machine more bytes are received already, and the connection is closed for them.

Ruled out: a deadline that doesn't fire; the request had ended long before.

Change: interim answers are skipped, at most 64 KiB of them before one final answer; then, and after 101, which no request asks for, the request fails and its connection is closed. That holds for the next response on a connection too, which also remembers now that the answer to HEAD has no body. The request's deadline covers all of it.

--- a/linnetlane/runtime/http.h
+++ b/linnetlane/runtime/http.h
@@ -105,9 +105,10 @@
 };
 
 // Sends `request` to `to` and waits for the header of the response, also while the body is still
-// being sent. A `Host` field of the request replaces the default, the address. Before anything is
-// sent, `hook` receives a function that closes the connection, which may be called until the stream
-// is destroyed. Call on a worker.
+// being sent. Interim responses (1xx) are skipped; with more than 64 KiB of them, or another
+// protocol (101), the request fails and the connection is closed. A `Host` field of the request
+// replaces the default, the address. Before anything is sent, `hook` receives a function that
+// closes the connection, which may be called until the stream is destroyed. Call on a worker.
 using cancel_hook = std::function<void(std::function<void()>)>;
 [[nodiscard]] auto open_stream(base::endpoint const& to, http_request const& request,
                                connection_use use, base::time_point deadline,
--- a/linnetlane/runtime/http_client.cpp
+++ b/linnetlane/runtime/http_client.cpp
@@ -28,6 +28,8 @@
 constexpr auto http_1_1 = 11U;
 constexpr auto chunk_bytes = std::size_t{16} * 1024;
 constexpr auto max_response_header_bytes = std::uint32_t{64} * 1024;
+// All interim responses (1xx) before one final response.
+constexpr auto max_interim_bytes = std::size_t{64} * 1024;
 // Readers limit the length of a response themselves. Without a limit, Beast rejects every declared
 // length as too long.
 constexpr auto no_body_limit = std::numeric_limits<std::uint64_t>::max();
@@ -117,6 +119,11 @@
     return http_failure_kind::closed;
 }
 
+// Also for codes that Beast doesn't know.
+auto is_interim(unsigned status) -> bool {
+    return http::to_status_class(status) == http::status_class::informational;
+}
+
 auto failure_after_send(boost::system::error_code error) -> http_failure {
     return http_failure{kind_of(error), send_state::may_have_been_sent};
 }
@@ -203,7 +210,9 @@
     base::endpoint to;
     connection_pointer used;
     std::shared_ptr<outgoing> sending;
-    std::optional<http::response_parser<http::buffer_body>> parser_slot{std::in_place};
+    // The response to a HEAD request has none.
+    bool has_body = true;
+    std::optional<http::response_parser<http::buffer_body>> parser_slot;
     http_fields fields;
     bool finished = false;
 
@@ -211,17 +220,35 @@
         return *this->parser_slot;
     }
 
+    // Reads the head of the next final response. After an error the connection can't be used.
     auto read_head() -> boost::system::error_code {
-        this->parser().header_limit(max_response_header_bytes);
-        this->parser().body_limit(no_body_limit);
-        auto const read = internal::await_io([this](auto handler) {
-            http::async_read_header(this->used->stream, this->used->buffer, this->parser(),
-                                    std::move(handler));
-        });
-        if (!read.error) {
-            this->fields = internal::fields_of(this->parser().get());
+        auto interim_bytes = std::size_t{0};
+        for (;;) {
+            this->parser_slot.emplace();
+            this->parser().header_limit(max_response_header_bytes);
+            this->parser().body_limit(no_body_limit);
+            this->parser().skip(!this->has_body);
+            auto const read = internal::await_io([this](auto handler) {
+                http::async_read_header(this->used->stream, this->used->buffer, this->parser(),
+                                        std::move(handler));
+            });
+            if (read.error) {
+                return read.error;
+            }
+            auto const status = this->parser().get().result_int();
+            if (status == static_cast<unsigned>(http::status::switching_protocols)) {
+                // No request asks for another protocol, and what follows wouldn't be HTTP.
+                return http::error::bad_status;
+            }
+            if (!is_interim(status)) {
+                this->fields = internal::fields_of(this->parser().get());
+                return {};
+            }
+            interim_bytes += read.bytes;
+            if (interim_bytes > max_interim_bytes) {
+                return http::error::header_limit;
+            }
         }
-        return read.error;
     }
 
     // Reads body bytes into `chunk`. Returns their count, which is 0 only at the end of the body.
@@ -352,8 +379,8 @@
     if (!own.parser().get().keep_alive()) {
         return failure_after_send(http::error::end_of_stream);
     }
-    own.parser_slot.emplace();
     if (auto const error = own.read_head()) {
+        this->close();
         return failure_after_send(error);
     }
     return base::nothing{};
@@ -378,7 +405,7 @@
     state->used->stream.expires_at(deadline);
     state->sending = std::make_shared<outgoing>(outgoing{state->used, to_message(to, request)});
     start_write(state->sending);
-    state->parser().skip(request.method == "HEAD");
+    state->has_body = request.method != "HEAD";
     if (auto const error = state->read_head()) {
         state->used->stream.close();
         return failure_after_send(error);
--- a/linnetlane/runtime/http_test.cpp
+++ b/linnetlane/runtime/http_test.cpp
@@ -2,9 +2,18 @@
 
 #include <atomic>
 #include <chrono>
+#include <cstddef>
 #include <future>
+#include <mutex>
 #include <string>
+#include <thread>
+#include <vector>
 
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 
 namespace linnetlane::runtime {
@@ -195,5 +204,277 @@
     });
 }
 
+// Bytes that a `raw_server` sends after each request.
+struct raw_bytes {
+    std::vector<std::string> parts;
+    // Between two parts.
+    std::chrono::milliseconds pause = 0ms;
+    // Sends the last part again until the client closes its connection.
+    bool endless = false;
+    // Closes the connection after the last part, instead of waiting for the next request.
+    bool closes = false;
+};
+
+// Serves one connection after the other, each until the client closes it, with any bytes as
+// answers. Has a thread of its own and ends it in its destructor.
+class raw_server {
+public:
+    explicit raw_server(raw_bytes own_bytes)
+        : bytes{std::move(own_bytes)},
+          acceptor{this->context, tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0)},
+          serving{[this] { this->serve_all(); }} {}
+    raw_server(raw_server const&) = delete;
+    auto operator=(raw_server const&) -> raw_server& = delete;
+    raw_server(raw_server&&) = delete;
+    auto operator=(raw_server&&) -> raw_server& = delete;
+    ~raw_server() {
+        this->stopping = true;
+        {
+            auto const guard = std::scoped_lock{this->mutex};
+            if (this->current != nullptr) {
+                auto ignored = boost::system::error_code{};
+                this->current->shutdown(tcp::socket::shutdown_both, ignored);
+            }
+        }
+        // Wakes the accepting thread.
+        auto wake = tcp::socket{this->context};
+        auto ignored = boost::system::error_code{};
+        wake.connect(this->acceptor.local_endpoint(), ignored);
+        this->serving.join();
+    }
+
+    [[nodiscard]] auto address() const -> base::endpoint {
+        return base::endpoint{"127.0.0.1", this->acceptor.local_endpoint().port()};
+    }
+    [[nodiscard]] auto connections() const -> std::size_t { return this->accepted; }
+    [[nodiscard]] auto bytes_sent() const -> std::size_t { return this->sent; }
+    // Returns whether the client closed all its connections within `time`.
+    [[nodiscard]] auto closed_within(base::duration time) const -> bool {
+        auto const until = base::monotonic_clock::now() + time;
+        while (this->ended < this->accepted && base::monotonic_clock::now() < until) {
+            std::this_thread::sleep_for(1ms);
+        }
+        return this->accepted > 0 && this->ended == this->accepted;
+    }
+
+private:
+    using tcp = boost::asio::ip::tcp;
+
+    auto serve_all() -> void {
+        while (!this->stopping) {
+            auto connection = tcp::socket{this->context};
+            auto error = boost::system::error_code{};
+            this->acceptor.accept(connection, error);
+            if (error || this->stopping) {
+                continue;
+            }
+            connection.set_option(tcp::no_delay{true}, error);
+            this->set_current(&connection);
+            ++this->accepted;
+            this->serve(connection);
+            ++this->ended;
+            this->set_current(nullptr);
+        }
+    }
+
+    auto set_current(tcp::socket* connection) -> void {
+        auto const guard = std::scoped_lock{this->mutex};
+        this->current = connection;
+    }
+
+    auto serve(tcp::socket& connection) -> void {
+        auto received = std::string{};
+        auto error = boost::system::error_code{};
+        while (!this->stopping) {
+            auto const head = boost::asio::read_until(
+                connection, boost::asio::dynamic_buffer(received), "\r\n\r\n", error);
+            if (error) {
+                return;
+            }
+            received.erase(0, head);
+            for (auto const& part : this->bytes.parts) {
+                this->send(connection, part, error);
+            }
+            while (this->bytes.endless && !error && !this->stopping) {
+                this->send(connection, this->bytes.parts.back(), error);
+            }
+            if (error || this->bytes.closes) {
+                return;
+            }
+        }
+    }
+
+    auto send(tcp::socket& connection, std::string const& part, boost::system::error_code& error)
+        -> void {
+        if (!error) {
+            this->sent += boost::asio::write(connection, boost::asio::buffer(part), error);
+            std::this_thread::sleep_for(this->bytes.pause);
+        }
+    }
+
+    raw_bytes bytes;
+    boost::asio::io_context context;
+    tcp::acceptor acceptor;
+    std::mutex mutex;
+    // Guarded by `mutex`.
+    tcp::socket* current = nullptr;
+    std::atomic<bool> stopping = false;
+    std::atomic<std::size_t> accepted = 0;
+    std::atomic<std::size_t> ended = 0;
+    std::atomic<std::size_t> sent = 0;
+    std::thread serving;
+};
+
+struct raw_fixture {
+    // Sends one request and returns the result.
+    static auto ask(raw_server const& server, base::time_point deadline,
+                    std::string const& method = "GET")
+        -> base::result<http_response, http_failure> {
+        auto own = fixture{};
+        auto result = base::result<http_response, http_failure>{http_failure{}};
+        in_fiber(own.pool, [&] {
+            result = fetch(server.address(), http_request{method, "/", {}, {}},
+                           connection_use::pooled, deadline);
+        });
+        return result;
+    }
+
+    // Checks that a request fails in this way and that its connection is closed.
+    static auto expect_failure(raw_server const& server, base::time_point deadline,
+                               http_failure_kind kind) -> void {
+        auto own = fixture{};
+        in_fiber(own.pool, [&] {
+            auto const fetched = fetch(server.address(), {}, connection_use::pooled, deadline);
+            BOOST_REQUIRE(!base::succeeded(fetched));
+            BOOST_TEST((base::failure_of(fetched)->kind == kind));
+            BOOST_TEST((base::failure_of(fetched)->send_state == send_state::may_have_been_sent));
+        });
+        // The pool still runs, so that it doesn't close the connection by its end.
+        BOOST_TEST(server.closed_within(10s));
+    }
+};
+
+auto const hints = std::string{"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\nX-Of: hints\r\n\r\n"};
+auto const short_hints = std::string{"HTTP/1.1 103 Early Hints\r\n\r\n"};
+auto const go_on = std::string{"HTTP/1.1 100 Continue\r\n\r\n"};
+auto const final_answer =
+    std::string{"HTTP/1.1 200 OK\r\nContent-Length: 5\r\nX-Of: answer\r\n\r\nwhole"};
+
+BOOST_FIXTURE_TEST_CASE(interim_answers_are_never_taken_for_the_final_one, raw_fixture) {
+    auto many = std::vector<std::string>(500, short_hints);
+    many.push_back(final_answer);
+    for (auto const& bytes : std::vector<raw_bytes>{
+             {.parts = {hints + final_answer}},
+             {.parts = {go_on + hints + go_on + final_answer}},
+             {.parts = {hints, final_answer}, .pause = 20ms},
+             {.parts = {go_on, hints.substr(0, 30), hints.substr(30) + go_on, final_answer},
+             .pause = 20ms},
+             {.parts = {"HTTP/1.1 102 Processing\r\nContent-Length: 7\r\n\r\n",
+                        "HTTP/1.1 199 Later\r\nTransfer-Encoding: chunked\r\n\r\n", final_answer},
+             .pause = 20ms},
+             {.parts = {"HTTP/1.1 103 Early Hints\r\nConnection: close\r\n\r\n", final_answer},
+             .pause = 20ms},
+             {.parts = many}}) {
+        auto const server = raw_server{bytes};
+        auto const fetched = this->ask(server, soon());
+        BOOST_REQUIRE(base::succeeded(fetched));
+        auto const& answer = base::value_of(fetched);
+        BOOST_TEST(answer.status == 200);
+        BOOST_TEST(answer.body == "whole");
+        BOOST_TEST(answer.fields.find("X-Of").value_or("") == "answer");
+        BOOST_TEST(!answer.fields.find("Link").has_value());
+    }
+}
+
+BOOST_FIXTURE_TEST_CASE(a_connection_with_interim_answers_is_kept_for_the_next_request,
+                        raw_fixture) {
+    auto const server = raw_server{{.parts = {hints, final_answer}, .pause = 5ms}};
+    auto own = fixture{};
+    in_fiber(own.pool, [&] {
+        for (auto count = 0; count < 5; ++count) {
+            auto const fetched = fetch(server.address(), {}, connection_use::pooled, soon());
+            BOOST_REQUIRE(base::succeeded(fetched));
+            BOOST_TEST(base::value_of(fetched).status == 200);
+            BOOST_TEST(base::value_of(fetched).body == "whole");
+        }
+    });
+    BOOST_TEST(server.connections() == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(the_answer_to_a_head_request_has_no_body_after_interim_ones_either,
+                        raw_fixture) {
+    auto const server =
+        raw_server{{.parts = {hints, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n"}}};
+    auto const fetched = this->ask(server, soon(), "HEAD");
+    BOOST_REQUIRE(base::succeeded(fetched));
+    BOOST_TEST(base::value_of(fetched).status == 200);
+    BOOST_TEST(base::value_of(fetched).body.empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(interim_answers_before_the_next_response_are_skipped, raw_fixture) {
+    auto const first = std::string{"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\none"};
+    for (auto const pause : {0ms, 20ms}) {
+        auto const server =
+            raw_server{{.parts = {first, go_on, hints, final_answer}, .pause = pause}};
+        auto own = fixture{};
+        in_fiber(own.pool, [&] {
+            auto opened = open_stream(server.address(), {}, connection_use::pooled, soon());
+            BOOST_REQUIRE(base::succeeded(opened));
+            auto stream = base::take_value(std::move(opened));
+            BOOST_REQUIRE(base::succeeded(stream.read_next_response(soon())));
+            BOOST_TEST(stream.status() == 200);
+            BOOST_TEST(base::value_of(stream.read_all(100, soon())) == "whole");
+        });
+    }
+}
+
+BOOST_FIXTURE_TEST_CASE(interim_answers_without_end_are_given_up, raw_fixture) {
+    for (auto const& one : {short_hints, go_on, hints}) {
+        auto const server = raw_server{{.parts = {one}, .endless = true}};
+        this->expect_failure(server, soon(), http_failure_kind::too_large);
+        // What it read, and what the buffers of both sides hold.
+        BOOST_TEST(server.bytes_sent() <= std::size_t{24} * 1024 * 1024);
+    }
+}
+
+BOOST_FIXTURE_TEST_CASE(interim_answers_without_end_before_the_next_response_are_given_up,
+                        raw_fixture) {
+    auto const server = raw_server{{.parts = {final_answer, short_hints}, .endless = true}};
+    auto own = fixture{};
+    in_fiber(own.pool, [&] {
+        auto opened = open_stream(server.address(), {}, connection_use::pooled, soon());
+        BOOST_REQUIRE(base::succeeded(opened));
+        auto stream = base::take_value(std::move(opened));
+        auto const next = stream.read_next_response(soon());
+        BOOST_REQUIRE(!base::succeeded(next));
+        BOOST_TEST((base::failure_of(next)->kind == http_failure_kind::too_large));
+        // Also before the stream is destroyed.
+        BOOST_TEST(server.closed_within(10s));
+    });
+}
+
+// Far apart, so that no more than one is ever received at once.
+BOOST_FIXTURE_TEST_CASE(slow_interim_answers_without_end_are_given_up_at_the_deadline,
+                        raw_fixture) {
+    auto const server = raw_server{{.parts = {short_hints}, .pause = 20ms, .endless = true}};
+    this->expect_failure(server, base::monotonic_clock::now() + 300ms,
+                         http_failure_kind::timed_out);
+}
+
+BOOST_FIXTURE_TEST_CASE(an_interim_answer_without_a_final_one_is_no_answer, raw_fixture) {
+    auto const silent = raw_server{{.parts = {hints}}};
+    this->expect_failure(silent, base::monotonic_clock::now() + 300ms,
+                         http_failure_kind::timed_out);
+    auto const closing = raw_server{{.parts = {hints}, .closes = true}};
+    this->expect_failure(closing, soon(), http_failure_kind::closed);
+}
+
+// The client never asks for another protocol.
+BOOST_FIXTURE_TEST_CASE(an_answer_that_switches_protocols_is_malformed, raw_fixture) {
+    auto const server = raw_server{
+        {.parts = {"HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n" + final_answer}}};
+    this->expect_failure(server, soon(), http_failure_kind::malformed);
+}
+
 }  // namespace
 }  // namespace linnetlane::runtime
