Accounts: keys of waiting requests are looked up again, and only a configuration that was read proves itself the newest

Cause, four faults that users_platform_accounts_test showed: - Before each send only the freshness of the configuration in force was checked, which is another one than that in which the key was looked up. A key that was taken away, or had moved, while the prompt was prefilled opened the decode. - A route that is open to all named the account of a key although the bound had passed. - After a full read that returned no configuration, the waits that followed went on to prove the one in force. - The waits of a host that reads the registry made its proofs up to 2 s old without a bound (1.7 s with one of 5 s) and those of followers older, so unknown keys were answered 503 instead of 401 for part of the time.

Ruled out: a later `current_within`, since a new key would be rejected for longer; comparing whole configurations of equal versions, since what hosts pass on isn't equal to the text in every digit.

Change: the key is looked up in the configuration in force before each send; open routes name no account in doubt; a full read without a configuration, or a removed one, proves nothing; the waits are a sixth of the shorter of the bound and `current_within`, which costs four calls a second for each data centre with the default.

--- a/linnetlane/router/messages.h
+++ b/linnetlane/router/messages.h
@@ -223,7 +223,7 @@
 struct configuration_reading {
     // Null if there is none or it can't be parsed.
     std::shared_ptr<routing::configuration const> configuration;
-    // There is one that can't be parsed.
+    // There is one that can't be parsed, or it was removed.
     bool unreadable = false;
     // The paths of the parts of the configuration that can't be read and were left out.
     std::vector<std::string> skipped;
--- a/linnetlane/router/registry_follower.h
+++ b/linnetlane/router/registry_follower.h
@@ -28,11 +28,10 @@
     // How long a call waits for changes. If the registry stops answering, this is detected earlier,
     // by keepalive probes of the connection and by `host_membership`, which interrupts the wait.
     static constexpr auto wait = std::chrono::seconds{15};
-    // How long a call waits for a newer configuration while keys are required: a share of the bound
-    // on revocations that leaves time for followers and for a lost call, or the second value if
-    // there is no bound.
+    // How long a call waits for a newer configuration while keys are required: a share of the time
+    // for which unknown keys can be rejected, and of the bound on revocations, that leaves time for
+    // followers and for a lost call.
     static constexpr auto key_check_share = 1.0 / 6;
-    static constexpr auto key_check_wait = std::chrono::seconds{1};
     // The time after the end of the wait at which a call fails.
     static constexpr auto timeout_margin = std::chrono::milliseconds{700};
     // The timeout of a read of the full state.
@@ -148,6 +147,10 @@
             auto const now = base::monotonic_clock::now();
             auto const asked_at = base::boot_clock::now();
             auto const wait = this->longest_wait();
+            if (!position) {
+                // Only a configuration that the read returns counts.
+                this->shows_in_force = false;
+            }
             auto const reading =
                 position ? this->registry.await_configuration(
                                *position, wait, now + wait + follower_timing::timeout_margin)
@@ -197,15 +200,16 @@
         if (current == nullptr || !current->requires_keys) {
             return follower_timing::wait;
         }
-        auto const bound = this->host.settings.accounts.revocation_bound;
-        return bound ? std::chrono::duration_cast<base::duration>(*bound *
-                                                                  follower_timing::key_check_share)
-                     : base::duration{follower_timing::key_check_wait};
+        auto const& accounts = this->host.settings.accounts;
+        auto const shortest = std::min(accounts.current_within,
+                                       accounts.revocation_bound.value_or(accounts.current_within));
+        return std::chrono::duration_cast<base::duration>(shortest *
+                                                          follower_timing::key_check_share);
     }
 
     // Records what an answer of the registry to a question at `asked_at` proves. One that shows an
-    // older configuration than that in force, or an unreadable one, proves nothing, nor do the
-    // waits that follow it.
+    // older configuration than that in force, none, or an unreadable one, proves nothing, nor do
+    // the waits that follow it.
     auto note_freshness(configuration_reading const& reading,
                         routing::configuration_freshness::time_point asked_at) -> void {
         if (this->registry.era() != this->known_era) {
--- a/linnetlane/router/request_authentication.h
+++ b/linnetlane/router/request_authentication.h
@@ -14,6 +14,14 @@
 
 namespace linnetlane::router {
 
+// Returns whether keys may have been taken away in a newer configuration than that in force for
+// longer than the operator's bound.
+[[nodiscard]] inline auto keys_in_doubt(account_settings const& settings,
+                                        routing::configuration_freshness const& freshness) -> bool {
+    auto const bound = settings.revocation_bound;
+    return bound && !freshness.is_within(*bound, base::boot_clock::now());
+}
+
 // Returns why a request on `route` that runs for an account may not be sent to an upstream now, if
 // so: a key may have been taken away in a newer configuration.
 [[nodiscard]] inline auto freshness_refusal(account_settings const& settings,
@@ -21,12 +29,9 @@
                                             routing::route const& route,
                                             routing::configuration_freshness const& freshness)
     -> std::optional<refusal_reason> {
-    auto const bound = settings.revocation_bound;
-    if (!bound || !configuration.requires_keys || route.open_to_all ||
-        freshness.is_within(*bound, base::boot_clock::now())) {
-        return std::nullopt;
-    }
-    return refusal_reason::configuration_too_old;
+    auto const refused =
+        configuration.requires_keys && !route.open_to_all && keys_in_doubt(settings, freshness);
+    return refused ? std::optional{refusal_reason::configuration_too_old} : std::nullopt;
 }
 
 // Assigns the account to `request`, and removes the key from what is forwarded. Returns the reason
@@ -46,7 +51,10 @@
             request.key = base::digest_of_key(*key);
         }
     }
-    auto const* const account = request.key ? configuration.accounts.find(*request.key) : nullptr;
+    // A request that needs no key runs in any case, but not for an account that may have lost the
+    // key.
+    auto const is_named = request.key && !(route.open_to_all && keys_in_doubt(settings, freshness));
+    auto const* const account = is_named ? configuration.accounts.find(*request.key) : nullptr;
     request.account = account == nullptr ? std::nullopt : std::optional{account->id};
     Wire::set_account(request, request.account);
     if (route.open_to_all) {
--- a/linnetlane/router/request_context.h
+++ b/linnetlane/router/request_context.h
@@ -120,10 +120,21 @@
                                     : nullptr;
     }
     // Returns whether the request may be sent to an upstream as far as its key is concerned, which
-    // may have been taken away since the request arrived.
+    // may have been taken away or moved to another account since the request arrived.
     [[nodiscard]] auto key_is_valid() const -> bool {
-        return !freshness_refusal(this->host.settings.accounts, *this->configuration, this->route,
-                                  this->host.view.freshness);
+        if (freshness_refusal(this->host.settings.accounts, *this->configuration, this->route,
+                              this->host.view.freshness)) {
+            return false;
+        }
+        auto const current = this->host.view.routes.current();
+        auto const checked = this->configuration->requires_keys && !this->route.open_to_all &&
+                             current != this->configuration && current->requires_keys;
+        if (!checked) {
+            return true;
+        }
+        auto const* const holder =
+            this->caller.key ? current->accounts.find(*this->caller.key) : nullptr;
+        return holder != nullptr && holder->id == this->caller.account;
     }
     // Records that a request is sent to an upstream, which counts against its rate limit.
     auto note_request_to(base::upstream_id const& upstream) const -> void {
