--- a/linnetlane/router/host.h
+++ b/linnetlane/router/host.h
@@ -155,9 +155,7 @@
     // Answers another host.
     auto serve_peer(runtime::http_request const& request, runtime::http_responder& responder)
         -> void {
-        if (request.target == forward_target) {
-            this->serve_forwarded(request, responder);
-        } else if (request.target == keyed_forward_target) {
+        if (request.target == forward_target || request.target == keyed_forward_target) {
             this->serve_forwarded(request, responder);
         } else if (request.target == facts_target) {
             this->receive_facts(request, responder);
