Load reports: a fourth figure states the pace of the upstream's machine

Cause: Server-Load may hold a fourth figure, how long work takes on the machine at this moment (100 is usual). The reader wanted exactly three figures and dropped such a load whole, so hosts of that deployment knew no load at all.

Change: routing::load_report has an optional pace (1 is usual).

--- a/linnetlane/routing/load_report.h
+++ b/linnetlane/routing/load_report.h
@@ -3,7 +3,9 @@
 #ifndef LINNETLANE_ROUTING_LOAD_REPORT_H_
 #define LINNETLANE_ROUTING_LOAD_REPORT_H_
 
+#include <algorithm>
 #include <cstddef>
+#include <optional>
 
 #include "linnetlane/base/time.h"
 
@@ -14,6 +16,42 @@
     std::size_t running = 0;
     std::size_t waiting = 0;
     std::size_t slots = 1;
+    // How long work takes on the upstream's machine at this moment, as a multiple of the usual
+    // time; unset if the upstream doesn't report it.
+    std::optional<double> pace = std::nullopt;
+};
+
+// Tracks the pace of an upstream's machine, from its last report. Other work on the machine comes
+// and goes within a second, so a report fades as it ages.
+class machine_pace {
+public:
+    // A report has no effect after this time.
+    static constexpr auto validity = std::chrono::milliseconds{600};
+    // The range of paces that have an effect. One wrong figure must neither draw all requests to an
+    // upstream nor take it out of use.
+    static constexpr auto least = 0.5;
+    static constexpr auto most = 10.0;
+
+    // Records the pace in `load`, if it holds one.
+    auto note(load_report const& load, base::time_point now) -> void {
+        if (load.pace) {
+            this->reported = std::clamp(*load.pace, least, most);
+            this->usual_from = now + validity;
+        }
+    }
+    // Returns the last reported pace, moved towards 1 by the age of the report.
+    [[nodiscard]] auto at(base::time_point now) const -> double {
+        if (now >= this->usual_from) {
+            return 1;
+        }
+        auto const freshness =
+            base::to_seconds(this->usual_from - now) / base::to_seconds(validity);
+        return 1 + (this->reported - 1) * std::min(freshness, 1.0);
+    }
+
+private:
+    double reported = 1;
+    base::time_point usual_from = base::time_point::min();
 };
 
 // Tracks the requests of other hosts at an upstream, from its last report.
