Pools choose by the reported pace and by the learned speed of prefill engines

Cause: on a deployment with disturbed plain upstreams and engines of 0.55 and 1.2 of the usual speed, plain requests are late beside free slots. The pools learned a disturbance as the upstream's lasting speed and treated all prefill engines as equal.

Change: a fresh pace multiplies the expected time at plain upstreams and engines, and is taken out of the times that the pools learn from. Each prefill engine has a speed of its own from the logarithms of its times per token, shrunk towards the common one, aged, and dropped when the engine restarts. Without a reported pace and with equal speeds the factors are 1. Ruled out: a lowest time per engine, since engines with fewer samples would look slower for good.

--- a/linnetlane/routing/generation_pool.cpp
+++ b/linnetlane/routing/generation_pool.cpp
@@ -69,8 +69,8 @@
             (required && one.software != *required)) {
             continue;
         }
-        auto const cost = this->load_of(one, usual, now) +
-                          draw_spread * this->usual_tokens() * derived_draw(draw, index);
+        auto const load = this->felt_load(one, usual, this->usual_tokens(), one.pace.at(now), now);
+        auto const cost = load + draw_spread * this->usual_tokens() * derived_draw(draw, index);
         order.emplace_back(this->is_last_resort(one, now), now < one.full_until, cost, id);
     }
     std::ranges::sort(order);
@@ -93,6 +93,7 @@
     auto best = std::optional<ranked>{};
     auto index = std::size_t{0};
     auto const usual = this->usual_others(engine_stage::prefill, now);
+    auto const common = this->common_speed(now);
     for (auto const& [id, one] : this->members) {
         ++index;
         if (one.leaving || one.stage != engine_stage::prefill || tried.contains(id) ||
@@ -103,7 +104,9 @@
                                       decode_engine->second.data_centre == one.data_centre;
         auto const spread = draw_spread * derived_draw(draw, index) +
                             (same_data_centre ? 0 : cross_data_centre_cost);
-        auto const cost = this->load_of(one, usual, now) + spread * this->usual_tokens();
+        auto const load =
+            this->felt_load(one, usual, this->mean_prompt, this->slowdown(one, common, now), now);
+        auto const cost = load + spread * this->usual_tokens();
         auto const candidate =
             ranked{this->is_last_resort(one, now), now < one.full_until, cost, id};
         if (!best || candidate < *best) {
@@ -118,26 +121,32 @@
     -> base::duration {
     auto least = std::optional<double>{};
     auto const usual = this->usual_others(engine_stage::prefill, now);
+    auto const common = this->common_speed(now);
+    auto const tokens = static_cast<double>(prompt.value);
     for (auto const& [id, one] : this->members) {
         if (one.leaving || one.stage != engine_stage::prefill || tried.contains(id) ||
             this->pauses.is_blocked(id, now) || this->is_last_resort(one, now) ||
             now < one.full_until) {
             continue;
         }
-        auto const tokens = this->load_of(one, usual, now);
-        least = std::min(least.value_or(tokens), tokens);
+        auto const felt =
+            (this->load_of(one, usual, now) + tokens) * this->slowdown(one, common, now);
+        least = std::min(least.value_or(felt), felt);
     }
-    auto const all = least.value_or(0) + static_cast<double>(prompt.value);
-    return base::from_seconds(all * this->seconds_per_token);
+    return base::from_seconds(least.value_or(tokens) * this->seconds_per_token);
 }
 
 auto generation_pool::prefill_rate(base::time_point now) const -> double {
-    auto const usable = std::ranges::count_if(this->members, [&](auto const& each) {
-        return each.second.stage == engine_stage::prefill && !each.second.leaving &&
-               !this->pauses.is_blocked(each.first, now) && !this->is_last_resort(each.second, now);
-    });
+    auto const common = this->common_speed(now);
+    auto usable = 0.0;
+    for (auto const& [id, one] : this->members) {
+        if (one.stage == engine_stage::prefill && !one.leaving &&
+            !this->pauses.is_blocked(id, now) && !this->is_last_resort(one, now)) {
+            usable += 1 / one.speed.slowness(common, now);
+        }
+    }
     auto const seconds = this->seconds_per_token * this->mean_prompt;
-    return seconds > 0 ? static_cast<double>(usable) / seconds : 0;
+    return seconds > 0 ? usable / seconds : 0;
 }
 
 auto generation_pool::note_prefill_time(base::token_count prompt, double ahead, base::duration took)
@@ -151,13 +160,42 @@
     update_moving_mean(this->seconds_per_token, sample, weight);
 }
 
+auto generation_pool::note_prefill_time(base::upstream_id const& id, base::token_count prompt,
+                                        double ahead, base::duration took, base::time_point now)
+    -> void {
+    auto const found = this->members.find(id);
+    if (found == this->members.end()) {
+        this->note_prefill_time(prompt, ahead, took);
+        return;
+    }
+    auto& one = found->second;
+    auto const tokens = ahead + static_cast<double>(prompt.value);
+    auto const seconds = base::to_seconds(took) / one.pace.at(now);
+    if (tokens <= 0 || seconds <= 0) {
+        return;
+    }
+    one.speed.note(seconds / tokens, now);
+    auto const slowness = one.speed.slowness(this->common_speed(now), now);
+    this->note_prefill_time(prompt, ahead, base::from_seconds(seconds / slowness));
+}
+
+auto generation_pool::prefill_slowness(base::upstream_id const& id, base::time_point now) const
+    -> double {
+    auto const found = this->members.find(id);
+    return found == this->members.end()
+               ? 1
+               : found->second.speed.slowness(this->common_speed(now), now);
+}
+
 auto generation_pool::note_prefill_timeout(base::upstream_id const& id, base::duration waited,
                                            base::time_point now) -> void {
     auto const found = this->members.find(id);
     if (found == this->members.end() || this->seconds_per_token == 0 || this->mean_prompt == 0) {
         return;
     }
-    auto const queued = base::to_seconds(waited) / this->seconds_per_token / this->mean_prompt;
+    auto const slowdown = this->slowdown(found->second, this->common_speed(now), now);
+    auto const queued =
+        base::to_seconds(waited) / slowdown / this->seconds_per_token / this->mean_prompt;
     found->second.others.note(load_report{0, static_cast<std::size_t>(queued), 1}, 0,
                               now + prefill_timeout_validity);
 }
@@ -232,6 +270,7 @@
                                 base::time_point now) -> void {
     if (auto const found = this->members.find(id); found != this->members.end()) {
         found->second.others.note(load, found->second.requests, now + load_report_validity);
+        found->second.pace.note(load, now);
     }
 }
 
@@ -247,6 +286,34 @@
     return reports > 0 ? total / reports : 0;
 }
 
+// Engines count by the samples that are known of them, so that one prefill at a new engine doesn't
+// move what is known of the others.
+auto generation_pool::common_speed(base::time_point now) const -> double {
+    auto total = 0.0;
+    auto weights = 0.0;
+    for (auto const& [id, one] : this->members) {
+        if (one.stage == engine_stage::prefill) {
+            auto const samples = one.speed.samples_at(now);
+            auto const weight = samples / (samples + prefill_speed::prior_samples);
+            total += weight * one.speed.mean();
+            weights += weight;
+        }
+    }
+    return weights > 0 ? total / weights : 0;
+}
+
+auto generation_pool::slowdown(member const& one, double common, base::time_point now) const
+    -> double {
+    return one.speed.slowness(common, now) * one.pace.at(now);
+}
+
+// Equals the load alone at a slowdown of 1.
+auto generation_pool::felt_load(member const& one, double usual_others, double usual_work,
+                                double slowdown, base::time_point now) const -> double {
+    auto const load = this->load_of(one, usual_others, now);
+    return load + (slowdown - 1) * (load + usual_work);
+}
+
 auto generation_pool::load_of(member const& one, double usual_others, base::time_point now) const
     -> double {
     auto const per_request =
--- a/linnetlane/routing/generation_pool.h
+++ b/linnetlane/routing/generation_pool.h
@@ -19,6 +19,7 @@
 #include "linnetlane/base/units.h"
 #include "linnetlane/routing/data_centre_reachability.h"
 #include "linnetlane/routing/load_report.h"
+#include "linnetlane/routing/prefill_speed.h"
 #include "linnetlane/routing/upstream_health.h"
 #include "linnetlane/routing/upstream_pauses.h"
 #include "linnetlane/routing/upstream_set.h"
@@ -118,9 +119,16 @@
     // known.
     [[nodiscard]] auto prefill_rate(base::time_point now) const -> double;
 
-    // Records that a prefill of `prompt` tokens, which began when `ahead` tokens were under way at
-    // the engine, took `took`.
+    // Records that a prefill of `prompt` tokens at an engine, which began when `ahead` tokens were
+    // under way there, took `took`. Call `note_load` first if the answer reported a load.
+    auto note_prefill_time(base::upstream_id const& id, base::token_count prompt, double ahead,
+                           base::duration took, base::time_point now) -> void;
+    // The same for an engine of the common speed at the usual pace.
     auto note_prefill_time(base::token_count prompt, double ahead, base::duration took) -> void;
+    // Returns how many times as long as at the engines' common speed a prefill takes at the engine,
+    // without the pace of its machine; 1 while it isn't known.
+    [[nodiscard]] auto prefill_slowness(base::upstream_id const& id, base::time_point now) const
+        -> double;
     // Records that an engine did not finish a prefill within `waited`, so its queue is at least as
     // long.
     auto note_prefill_timeout(base::upstream_id const& id, base::duration waited,
@@ -154,6 +162,8 @@
         std::size_t requests = 0;
         base::time_point full_until = base::time_point::min();
         other_hosts_load others;
+        machine_pace pace;
+        prefill_speed speed;
         upstream_health health;
     };
 
@@ -174,6 +184,17 @@
     // current report; 0 if none has one.
     [[nodiscard]] auto usual_others(engine_stage stage, base::time_point now) const -> double;
 
+    // Returns the mean of the logarithms of the prefill times per token over the engines.
+    [[nodiscard]] auto common_speed(base::time_point now) const -> double;
+    // Returns how many times as long as usual work takes at the engine just now. `common` is from
+    // `common_speed`.
+    [[nodiscard]] auto slowdown(member const& one, double common, base::time_point now) const
+        -> double;
+    // Returns the load of the engine in tokens, as its slowdown makes it count. `usual_work` tokens
+    // are to be added to the load.
+    [[nodiscard]] auto felt_load(member const& one, double usual_others, double usual_work,
+                                 double slowdown, base::time_point now) const -> double;
+
     data_centre_reachability* reachability;
     std::map<base::upstream_id, member> members;
     upstream_pauses pauses;
@@ -181,8 +202,8 @@
     // of other hosts into tokens.
     double mean_tokens = 0;
     double mean_prompt = 0;
-    // The prefill time per token of an engine that isn't slowed down by other work, in seconds; 0
-    // while unknown.
+    // The prefill time per token of an engine of the common speed that isn't slowed down by other
+    // work, in seconds; 0 while unknown.
     double seconds_per_token = 0;
 };
 
--- a/linnetlane/routing/plain_pool.cpp
+++ b/linnetlane/routing/plain_pool.cpp
@@ -85,16 +85,19 @@
     one.under_way -= std::min<std::size_t>(one.under_way, 1);
     one.health.note(result.outcome, failure_rate_of_others(this->members, id), now);
     this->reachability->note(one.data_centre, result.outcome, now);
-    this->update_mean(one, result);
     if (result.load) {
+        one.pace.note(*result.load, now);
         one.others.note(*result.load, one.under_way, now + load_report_validity);
     }
+    this->update_mean(one, result, now);
 }
 
 // Rejections and failures are faster than answers and don't count. An abandoned request counts if
-// it took longer than the means: its answer would have taken at least that long.
-auto plain_pool::update_mean(member& one, plain_result const& result) -> void {
-    auto const seconds = base::to_seconds(result.took);
+// it took longer than the means: its answer would have taken at least that long. The pace is taken
+// out, since the mean outlives what disturbs the machine for a moment.
+auto plain_pool::update_mean(member& one, plain_result const& result, base::time_point now)
+    -> void {
+    auto const seconds = base::to_seconds(result.took) / one.pace.at(now);
     auto const slower = result.outcome == exchange_outcome::abandoned &&
                         seconds > one.mean_seconds && seconds > this->overall_mean_seconds;
     if (result.outcome == exchange_outcome::answered || slower) {
@@ -114,7 +117,7 @@
     // Upstreams slow down with concurrent requests and queue those beyond their slots.
     auto const crowding = 0.5 * load / slots;
     auto const queueing = std::max(0.0, load / slots - 1);
-    return idle_seconds * (1 + crowding + queueing);
+    return idle_seconds * one.pace.at(now) * (1 + crowding + queueing);
 }
 
 }  // namespace linnetlane::routing
--- a/linnetlane/routing/plain_pool.h
+++ b/linnetlane/routing/plain_pool.h
@@ -1,7 +1,8 @@
 // Picks an upstream of a plain service for each request: the one that is expected to finish first.
 //
 // The estimate combines the requests of this host at the upstream, its last load report (which
-// covers the other hosts), and the time that its answers take.
+// covers the other hosts), the time that its answers take, and the last reported pace of its
+// machine.
 
 #ifndef LINNETLANE_ROUTING_PLAIN_POOL_H_
 #define LINNETLANE_ROUTING_PLAIN_POOL_H_
@@ -81,13 +82,15 @@
         base::software_version software;
         bool leaving = false;
         std::size_t under_way = 0;
-        // The moving mean of the time that a request takes, in seconds; 0 before the first answer.
+        // The moving mean of the time that a request takes at the usual pace, in seconds; 0 before
+        // the first answer.
         double mean_seconds = 0;
         other_hosts_load others;
+        machine_pace pace;
         upstream_health health;
     };
 
-    auto update_mean(member& one, plain_result const& result) -> void;
+    auto update_mean(member& one, plain_result const& result, base::time_point now) -> void;
     // Returns the expected time of a request that is sent to the upstream now.
     [[nodiscard]] auto expected_seconds(member const& one, base::time_point now) const -> double;
 
