Router: upstreams' pace as a histogram, and the learned speed in a debug line

Operators see the reported paces in linnetlane_upstream_pace (one histogram, whatever the number of upstreams) and the learned slowness of a prefill engine in the line "prefill made" at level debug.

--- a/linnetlane/router/generation_forwarder.h
+++ b/linnetlane/router/generation_forwarder.h
@@ -287,7 +287,15 @@
         auto& state = this->context.state();
         auto const now = base::monotonic_clock::now();
         if (made) {
-            state.generation.note_prefill_time(this->prompt(), ahead, took);
+            state.generation.note_prefill_time(engine.id, this->prompt(), ahead, took, now);
+            auto const slowness = state.generation.prefill_slowness(engine.id, now);
+            this->context.host.log.write(
+                telemetry::log_level::debug, "prefill made",
+                {this->context.caller.id,
+                 this->context.service,
+                 engine.id,
+                 {"took", took},
+                 {"slowness_per_1000", static_cast<std::int64_t>(1000 * slowness)}});
         } else {
             state.generation.note_prefill_timeout(engine.id, took, now);
             state.prefill_limits.note_timeout(engine.id, now);
--- a/linnetlane/router/request_context.h
+++ b/linnetlane/router/request_context.h
@@ -66,12 +66,15 @@
     }
 }
 
-// Records what an upstream's answer says of the upstream itself: that it leaves, wants a pause, or
-// takes a limited rate of requests.
+// Records what an upstream's answer says of the upstream itself: that it leaves, wants a pause,
+// takes a limited rate of requests, or works at another pace than usual.
 inline auto note_announcements(host_context const& host, base::service_id const& service,
                                base::upstream_id const& from, upstream_answer const& answer)
     -> void {
     note_rate_limit(host, service, from, answer);
+    if (answer.load && answer.load->pace) {
+        host.metrics.observe_pace(*answer.load->pace);
+    }
     if (answer.leaving && host.view.note_leaving(from)) {
         host.log.write(telemetry::log_level::info, "upstream says that it leaves", {from, service});
     }
--- a/linnetlane/router/router_metrics.cpp
+++ b/linnetlane/router/router_metrics.cpp
@@ -13,6 +13,11 @@
     return {0.01, 0.025, 0.05, 0.1, 0.15, 0.3, 0.6, 0.9, 1.5, 3, 6, 14};
 }
 
+// Multiples of the usual time of work.
+auto pace_buckets() -> buckets {
+    return {0.5, 0.75, 0.9, 1, 1.1, 1.25, 1.5, 2, 3, 5, 10};
+}
+
 auto counters(prometheus::Registry& registry, char const* name, char const* help)
     -> prometheus::Family<prometheus::Counter>& {
     return prometheus::BuildCounter().Name(name).Help(help).Register(registry);
@@ -106,6 +111,10 @@
       first_event_seconds{&histograms(*this->registry, "linnetlane_first_event_seconds",
                                       "From a request's arrival to the first event of its answer.")
                                .Add({}, latency_buckets())},
+      upstream_pace{&histograms(*this->registry, "linnetlane_upstream_pace",
+                                "How long work takes at upstreams' machines, as reported with "
+                                "answers; 1 is usual.")
+                         .Add({}, pace_buckets())},
       registry_failures{&counters(*this->registry, "linnetlane_registry_failures_total",
                                   "Calls on the registry that failed.")
                              .Add({})},
@@ -155,6 +164,10 @@
     this->first_event_seconds->Observe(base::to_seconds(took));
 }
 
+auto router_metrics::observe_pace(double pace) -> void {
+    this->upstream_pace->Observe(pace);
+}
+
 auto router_metrics::count_registry_failure() -> void {
     this->registry_failures->Increment();
 }
--- a/linnetlane/router/router_metrics.h
+++ b/linnetlane/router/router_metrics.h
@@ -47,6 +47,8 @@
     // Counts a request that reached no upstream from this host, and whether another host took it.
     auto count_forwarded(bool taken) -> void;
     auto observe_first_event(base::duration took) -> void;
+    // Notes the pace that an upstream reported, as in `routing::load_report`.
+    auto observe_pace(double pace) -> void;
     auto count_registry_failure() -> void;
     auto set_upstreams(std::size_t count) -> void;
     auto set_configuration(routing::configuration_version version) -> void;
@@ -69,6 +71,7 @@
     prometheus::Counter* prefill_tokens;
     prometheus::Counter* wasted_prefill_tokens;
     prometheus::Histogram* first_event_seconds;
+    prometheus::Histogram* upstream_pace;
     prometheus::Counter* registry_failures;
     prometheus::Gauge* upstreams;
     prometheus::Gauge* configuration;
