--- a/linnetlane/router/registry_follower.h
+++ b/linnetlane/router/registry_follower.h
@@ -28,10 +28,11 @@
     // How long a call waits for changes. If the registry stops answering, this is detected earlier,
     // by keepalive probes of the connection and by `host_membership`, which interrupts the wait.
     static constexpr auto wait = std::chrono::seconds{15};
-    // How long a call waits for a newer configuration while keys are required: a share of the time
-    // for which unknown keys can be rejected, and of the bound on revocations, that leaves time for
-    // followers and for a lost call.
-    static constexpr auto key_check_share = 1.0 / 6;
+    // How long a call waits for a newer configuration while keys are required, as shares of the
+    // time for which unknown keys can be rejected and of the bound on revocations. They leave time
+    // for followers and, of the bound, for a lost call.
+    static constexpr auto unknown_key_share = 1.0 / 3;
+    static constexpr auto revocation_share = 1.0 / 6;
     // The time after the end of the wait at which a call fails.
     static constexpr auto timeout_margin = std::chrono::milliseconds{700};
     // The timeout of a read of the full state.
@@ -201,10 +202,13 @@
             return follower_timing::wait;
         }
         auto const& accounts = this->host.settings.accounts;
-        auto const shortest = std::min(accounts.current_within,
-                                       accounts.revocation_bound.value_or(accounts.current_within));
-        return std::chrono::duration_cast<base::duration>(shortest *
-                                                          follower_timing::key_check_share);
+        using seconds = std::chrono::duration<double>;
+        auto longest = seconds{accounts.current_within * follower_timing::unknown_key_share};
+        if (accounts.revocation_bound) {
+            longest = std::min<seconds>(
+                longest, *accounts.revocation_bound * follower_timing::revocation_share);
+        }
+        return std::chrono::duration_cast<base::duration>(longest);
     }
 
     // Records what an answer of the registry to a question at `asked_at` proves. One that shows an
