--- a/linnetlane/router/quota_service.h
+++ b/linnetlane/router/quota_service.h
@@ -26,6 +26,8 @@
     // Includes the time in which the keeper asks others.
     static constexpr auto keeper_timeout = std::chrono::milliseconds{150};
     static constexpr auto lender_timeout = std::chrono::milliseconds{60};
+    // A keeper asks others for no longer than this, so that its followers don't take it for lost.
+    static constexpr auto borrowing_timeout = std::chrono::milliseconds{100};
     // How long a host that gave no answer is left alone.
     static constexpr auto unreachable_pause = std::chrono::milliseconds{500};
     // How long a keeper that had nothing to lend for an account isn't asked for it again.
@@ -93,6 +95,35 @@
         auto const* const wait = std::get_if<routing::quota_wait>(&taken);
         return wait == nullptr ? quota_answer{question.amount, {}} : quota_answer{0, wait->wait};
     }
+    // Returns the host that keeps quotas for this one, or nothing if this one keeps them itself or
+    // its keeper can't be reached.
+    [[nodiscard]] auto keeper(base::time_point now) -> std::optional<host_entry> {
+        auto const& source = this->host.view.source;
+        return source && source->peers && !this->is_unreachable(source->host, now) ? source
+                                                                                   : std::nullopt;
+    }
+    // Returns the share of all quotas that this host's buckets get now, from 0 to 1.
+    [[nodiscard]] auto share(base::time_point now) -> double {
+        auto& view = this->host.view;
+        auto shares = std::size_t{1};
+        if (view.reads_registry) {
+            // Others may still be counted by the host that they followed before.
+            shares += view.feed.settled_followers(now);
+        } else if (this->keeper(now)) {
+            shares = 0;
+        }
+        return static_cast<double>(shares) / static_cast<double>(view.hosts);
+    }
+    // Returns what an account, which must have a quota, can take from this host's bucket. Nothing
+    // if another host keeps the quota.
+    [[nodiscard]] auto level(routing::client_account const& account, base::time_point now)
+        -> std::optional<double> {
+        if (this->keeper(now)) {
+            return std::nullopt;
+        }
+        this->refresh_share(now);
+        return this->quotas.level(account, now);
+    }
 
 private:
     [[nodiscard]] static auto tolerance_of(quota_settings const& settings)
@@ -130,14 +161,6 @@
                                          : routing::quota_result{routing::quota_wait{answer->wait}};
     }
 
-    // Returns the host that keeps quotas for this one, or nothing if this one keeps them itself or
-    // its keeper can't be reached.
-    [[nodiscard]] auto keeper(base::time_point now) -> std::optional<host_entry> {
-        auto const& source = this->host.view.source;
-        return source && source->peers && !this->is_unreachable(source->host, now) ? source
-                                                                                   : std::nullopt;
-    }
-
     auto take_here(routing::client_account const& account, double amount) -> routing::quota_result {
         auto const now = base::monotonic_clock::now();
         this->refresh_share(now);
@@ -155,11 +178,12 @@
         // A copy, since the list may change while others are asked.
         auto const readers = this->host.view.other_readers;
         auto const least = base::to_seconds(borrowed_time) * account.quota->per_second;
+        auto const ask_until = base::monotonic_clock::now() + borrowing_timeout;
         for (auto asked = std::size_t{0}; asked < readers.size(); ++asked) {
             auto const& reader = readers[(this->next_lender + asked) % readers.size()];
             auto const now = base::monotonic_clock::now();
             auto const missing = this->quotas.missing(account, amount, now);
-            if (missing <= 0) {
+            if (missing <= 0 || now >= ask_until) {
                 return;
             }
             auto const declined = this->declined_until.find({reader.host, account.id});
@@ -167,8 +191,9 @@
                 this->is_unreachable(reader.host, now)) {
                 continue;
             }
-            auto const answer = this->ask(
-                reader, this->question_for(account, std::max(missing, least)), lender_timeout);
+            auto const answer =
+                this->ask(reader, this->question_for(account, std::max(missing, least)),
+                          std::min<base::duration>(lender_timeout, ask_until - now));
             auto const lent = answer ? answer->granted : 0.0;
             this->quotas.borrow(account, lent, base::monotonic_clock::now());
             if (lent < missing) {
@@ -195,6 +220,12 @@
                  {"status",
                   response == nullptr ? 0 : static_cast<std::int64_t>(response->status)}});
         }
+        if (question.amount > 0) {
+            this->host.metrics.count_quota_question(!answer ? quota_outcome::none
+                                                    : answer->granted < question.amount
+                                                        ? quota_outcome::short_of_work
+                                                        : quota_outcome::granted);
+        }
         return answer;
     }
 
@@ -209,16 +240,9 @@
             return;
         }
         this->next_share = now + share_interval;
-        auto& view = this->host.view;
-        auto shares = std::size_t{1};
-        if (view.reads_registry) {
-            shares += view.feed.followers(now).size();
-        } else if (this->keeper(now)) {
-            shares = 0;
-        }
-        this->quotas.set_share(static_cast<double>(shares) / static_cast<double>(view.hosts), now);
+        this->quotas.set_share(this->share(now), now);
         std::erase_if(this->declined_until, [&](auto const& each) { return each.second <= now; });
-        if (auto const configuration = view.routes.current()) {
+        if (auto const configuration = this->host.view.routes.current()) {
             this->quotas.retain(configuration->accounts);
         }
     }
--- a/linnetlane/router/request_context.h
+++ b/linnetlane/router/request_context.h
@@ -66,12 +66,15 @@
     }
 }
 
-// Records what an upstream's answer says of the upstream itself: that it leaves, wants a pause, or
-// takes a limited rate of requests.
+// Records what an upstream's answer says of the upstream itself: that it leaves, wants a pause,
+// takes a limited rate of requests, or works at another pace than usual.
 inline auto note_announcements(host_context const& host, base::service_id const& service,
                                base::upstream_id const& from, upstream_answer const& answer)
     -> void {
     note_rate_limit(host, service, from, answer);
+    if (answer.load && answer.load->pace) {
+        host.metrics.observe_pace(*answer.load->pace);
+    }
     if (answer.leaving && host.view.note_leaving(from)) {
         host.log.write(telemetry::log_level::info, "upstream says that it leaves", {from, service});
     }
@@ -120,10 +123,21 @@
                                     : nullptr;
     }
     // Returns whether the request may be sent to an upstream as far as its key is concerned, which
-    // may have been taken away since the request arrived.
+    // may have been taken away or moved to another account since the request arrived.
     [[nodiscard]] auto key_is_valid() const -> bool {
-        return !freshness_refusal(this->host.settings.accounts, *this->configuration, this->route,
-                                  this->host.view.freshness);
+        if (freshness_refusal(this->host.settings.accounts, *this->configuration, this->route,
+                              this->host.view.freshness)) {
+            return false;
+        }
+        auto const current = this->host.view.routes.current();
+        auto const checked = this->configuration->requires_keys && !this->route.open_to_all &&
+                             current != this->configuration && current->requires_keys;
+        if (!checked) {
+            return true;
+        }
+        auto const* const holder =
+            this->caller.key ? current->accounts.find(*this->caller.key) : nullptr;
+        return holder != nullptr && holder->id == this->caller.account;
     }
     // Records that a request is sent to an upstream, which counts against its rate limit.
     auto note_request_to(base::upstream_id const& upstream) const -> void {
