--- a/linnetlane/router/request_authentication.h
+++ b/linnetlane/router/request_authentication.h
@@ -3,6 +3,7 @@
 #ifndef LINNETLANE_ROUTER_REQUEST_AUTHENTICATION_H_
 #define LINNETLANE_ROUTER_REQUEST_AUTHENTICATION_H_
 
+#include <chrono>
 #include <optional>
 
 #include "linnetlane/base/account_key.h"
@@ -18,8 +19,12 @@
 // longer than the operator's bound.
 [[nodiscard]] inline auto keys_in_doubt(account_settings const& settings,
                                         routing::configuration_freshness const& freshness) -> bool {
+    // The rest of the bound is left for the way to the upstream.
+    constexpr auto usable_share = 0.95;
     auto const bound = settings.revocation_bound;
-    return bound && !freshness.is_within(*bound, base::boot_clock::now());
+    return bound &&
+           !freshness.is_within(std::chrono::duration_cast<base::duration>(*bound * usable_share),
+                                base::boot_clock::now());
 }
 
 // Returns why a request on `route` that runs for an account may not be sent to an upstream now, if
