--- a/linnetlane/ctl/check_command.cpp
+++ b/linnetlane/ctl/check_command.cpp
@@ -2,9 +2,6 @@
 
 #include <algorithm>
 #include <charconv>
-#include <fstream>
-#include <iostream>
-#include <iterator>
 #include <optional>
 #include <string>
 
@@ -12,6 +9,7 @@
 #include <boost/program_options/value_semantic.hpp>
 #include <nlohmann/json.hpp>
 
+#include "linnetlane/ctl/read_file.h"
 #include "linnetlane/routing/configuration_check.h"
 
 namespace linnetlane::ctl {
@@ -20,21 +18,10 @@
 
 namespace po = boost::program_options;
 
-auto read_text(std::string const& path) -> std::optional<std::string> {
-    if (path == "-") {
-        return std::string{std::istreambuf_iterator<char>{std::cin}, {}};
-    }
-    auto file = std::ifstream{path, std::ios::binary};
-    if (!file.is_open()) {
-        return std::nullopt;
-    }
-    return std::string{std::istreambuf_iterator<char>{file}, {}};
-}
-
 // Prints an error and returns nothing if the file holds no configuration.
 auto load_draft(invocation const& run, std::string const& path)
     -> std::optional<routing::configuration_draft> {
-    auto const text = read_text(path);
+    auto const text = read_file(path);
     if (!text) {
         run.err() << fmt::format("linnetctl: cannot read {}\n", path);
         return std::nullopt;
--- a/linnetlane/ctl/service_commands.cpp
+++ b/linnetlane/ctl/service_commands.cpp
@@ -2,9 +2,6 @@
 
 #include <algorithm>
 #include <chrono>
-#include <fstream>
-#include <iostream>
-#include <iterator>
 #include <optional>
 #include <thread>
 #include <utility>
@@ -12,6 +9,7 @@
 #include <fmt/format.h>
 #include <boost/program_options/value_semantic.hpp>
 
+#include "linnetlane/ctl/read_file.h"
 #include "linnetlane/ctl/table.h"
 #include "linnetlane/service/diff.h"
 #include "linnetlane/service/parse.h"
@@ -31,18 +29,6 @@
     std::string text;
 };
 
-// Reads the whole file, or standard input if `path` is `-`.
-auto read_file(std::string const& path) -> std::optional<std::string> {
-    if (path == "-") {
-        return std::string{std::istreambuf_iterator<char>{std::cin}, {}};
-    }
-    auto file = std::ifstream{path, std::ios::binary};
-    if (!file.is_open()) {
-        return std::nullopt;
-    }
-    return std::string{std::istreambuf_iterator<char>{file}, {}};
-}
-
 // Loads the document from the file that the first argument names. Prints errors and returns nothing
 // on failure.
 auto load_document(invocation const& run) -> std::optional<loaded_document> {
