--- a/linnetlane/router/registry_follower.h
+++ b/linnetlane/router/registry_follower.h
@@ -31,7 +31,7 @@
     // How long a call waits for a newer configuration while keys are required, as shares of the
     // time for which unknown keys can be rejected and of the bound on revocations. They leave time
     // for followers and, of the bound, for a lost call.
-    static constexpr auto unknown_key_share = 1.0 / 3;
+    static constexpr auto unknown_key_share = 1.0 / 6;
     static constexpr auto revocation_share = 1.0 / 6;
     // The time after the end of the wait at which a call fails.
     static constexpr auto timeout_margin = std::chrono::milliseconds{700};
