--- a/review/harness/harness.h
+++ b/review/harness/harness.h
@@ -435,6 +435,32 @@
         return found;
     }
 
+    // Keeps a copy of the items, leases and revisions.
+    auto take_copy() -> void {
+        auto const lock = std::lock_guard{this->mutex};
+        this->copy = {this->items, this->leases, this->revision, this->last_lease};
+    }
+    // Turns all callers away from now on.
+    auto go_down() -> void {
+        this->is_down = true;
+        this->changed.notify_all();
+    }
+    // Comes back from the copy, as a new era. Watches from revisions that it lacks get 410.
+    auto come_back_from_copy() -> void {
+        auto const lock = std::lock_guard{this->mutex};
+        this->items = this->copy.items;
+        this->leases = this->copy.leases;
+        for (auto& [id, one] : this->leases) {
+            one.until = now_ms() + one.ttl;
+        }
+        this->revision = this->copy.revision;
+        this->last_lease = this->copy.last_lease;
+        this->history.clear();
+        this->history_begins_after = this->revision;
+        ++this->era;
+        this->is_down = false;
+    }
+
 private:
     struct item {
         std::string value;
@@ -452,9 +478,14 @@
         double until = 0;
     };
 
+    [[nodiscard]] auto era_text() const -> std::string { return std::to_string(this->era); }
+
     auto serve(message const& request, connection& open, view* shown = nullptr) -> bool {
+        if (this->is_down) {
+            return open.send(format_answer(503, {{"Store-Era", this->era_text()}}, "{}"));
+        }
         if (shown != nullptr && shown->refuses) {
-            return open.send(format_answer(503, {{"Store-Era", "1"}}, "{}"));
+            return open.send(format_answer(503, {{"Store-Era", this->era_text()}}, "{}"));
         }
         auto const target = request.target();
         auto const path = target.substr(0, target.find('?'));
@@ -463,7 +494,8 @@
         auto body = json::object();
         if (path == "/-/kv-watch") {
             body = this->watch(query, status, open, shown);
-            if (shown != nullptr && shown->loses_answers && !body["events"].empty()) {
+            if (shown != nullptr && shown->loses_answers && body.contains("events") &&
+                !body["events"].empty()) {
                 ++shown->lost;
                 while (!open.peer_closed()) {
                     sleep_ms(20);
@@ -471,7 +503,7 @@
                 return false;
             }
             if (shown != nullptr && shown->refuses) {
-                return open.send(format_answer(503, {{"Store-Era", "1"}}, "{}"));
+                return open.send(format_answer(503, {{"Store-Era", this->era_text()}}, "{}"));
             }
         } else {
             auto const lock = std::lock_guard{this->mutex};
@@ -499,7 +531,8 @@
             }
         }
         return open.send(format_answer(
-            status, {{"Content-Type", "application/json"}, {"Store-Era", "1"}}, body.dump()));
+            status, {{"Content-Type", "application/json"}, {"Store-Era", this->era_text()}},
+            body.dump()));
     }
 
     static auto show_links(json& each, view const& shown) -> void {
@@ -561,6 +594,14 @@
         auto lock = std::unique_lock{this->mutex};
         for (;;) {
             this->expire();
+            if (this->is_down) {
+                status = 503;
+                return json::object();
+            }
+            if (after < this->history_begins_after || after > this->revision) {
+                status = 410;
+                return json::object();
+            }
             auto events = json::array();
             for (auto const& one : this->history) {
                 if (one.state.revision > after && one.key.starts_with(prefix)) {
@@ -678,6 +719,16 @@
     std::deque<change> history;
     std::uint64_t revision = 1;
     std::uint64_t last_lease = 0;
+    std::uint64_t history_begins_after = 0;
+    struct stored_copy {
+        std::map<std::string, item> items;
+        std::map<std::uint64_t, lease_state> leases;
+        std::uint64_t revision = 1;
+        std::uint64_t last_lease = 0;
+    };
+    stored_copy copy;
+    std::atomic<std::uint64_t> era = 1;
+    std::atomic<bool> is_down = false;
     std::vector<std::unique_ptr<view>> views;
     server http;
 };
