--- a/review/harness/harness.h
+++ b/review/harness/harness.h
@@ -9,6 +9,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
@@ -857,6 +858,8 @@
         auto const log = this->folder + "/" + name + ".log";
         one.process = ::fork();
         if (one.process == 0) {
+            // The host ends with the script.
+            ::prctl(PR_SET_PDEATHSIG, SIGKILL);
             auto const out = ::open(log.c_str(), O_CREAT | O_WRONLY | O_APPEND, 0600);
             ::dup2(out, STDOUT_FILENO);
             ::dup2(out, STDERR_FILENO);
@@ -866,7 +869,8 @@
         this->hosts.push_back(std::make_unique<host>(one));
         return *this->hosts.back();
     }
-    // Ends all hosts and removes the settings. The logs go to `keep_logs` if it isn't empty.
+    // Ends all hosts and removes their files. The logs are kept in the folder KEEP_LOGS, if it is
+    // set.
     auto stop() -> void {
         for (auto const& one : this->hosts) {
             if (one->process > 0) {
