Follower: a lost answer hides changes no longer than they may take

Cause: calls that wait for changes lasted 15 s, and if only the answer of such a call is lost, nothing but its end shows it. Keepalive probes are answered by the store's machine, and the lease is renewed over another connection.

Ruled out: detection by the renewals (they are answered), comparing versions between hosts (one host alone must notice it too).

Change: a wait lasts as long as a change may take to be in force, a setting (changes.applied_within, 2 s by default, from the platform's bound), so a lost answer is noticed 2.7 s later at the latest, less than the 3 s for which a host counts as out of touch.

--- a/linnetlane/router/registry_follower.h
+++ b/linnetlane/router/registry_follower.h
@@ -25,9 +25,10 @@
 
 // Timing of the calls to the registry and to other hosts.
 struct follower_timing {
-    // How long a call waits for changes. If the registry stops answering, this is detected earlier,
-    // by keepalive probes of the connection and by `host_membership`, which interrupts the wait.
-    static constexpr auto wait = std::chrono::seconds{15};
+    // The longest time for which a call waits for changes. If the registry stops answering, this is
+    // detected earlier, by keepalive probes of the connection and by `host_membership`, which
+    // interrupts the wait.
+    static constexpr auto max_wait = std::chrono::seconds{15};
     // How long a call waits for a newer configuration while keys are required, as shares of the
     // time for which unknown keys can be rejected and of the bound on revocations. They leave time
     // for followers and, of the bound, for a lost call.
@@ -61,6 +62,12 @@
     static constexpr auto max_last_resort_delay = std::chrono::milliseconds{1500};
 };
 
+// Returns how long a call waits for changes. If the answer is lost while the registry answers other
+// calls, only the end of the wait shows it.
+[[nodiscard]] inline auto change_wait(change_settings const& changes) -> base::duration {
+    return std::min<base::duration>(changes.applied_within, follower_timing::max_wait);
+}
+
 // Returns the registered hosts of the data centre of `self`.
 [[nodiscard]] inline auto hosts_of(host_listing const& listing, host_entry const& self)
     -> std::vector<host_entry> {
@@ -198,8 +205,9 @@
     // the configuration is the newest.
     [[nodiscard]] auto longest_wait() const -> base::duration {
         auto const current = this->host.view.routes.current();
+        auto const usual = change_wait(this->host.settings.changes);
         if (current == nullptr || !current->requires_keys) {
-            return follower_timing::wait;
+            return usual;
         }
         auto const& accounts = this->host.settings.accounts;
         using seconds = std::chrono::duration<double>;
@@ -208,7 +216,7 @@
             longest = std::min<seconds>(
                 longest, *accounts.revocation_bound * follower_timing::revocation_share);
         }
-        return std::chrono::duration_cast<base::duration>(longest);
+        return std::min(std::chrono::duration_cast<base::duration>(longest), usual);
     }
 
     // Records what an answer of the registry to a question at `asked_at` proves. One that shows an
@@ -361,7 +369,7 @@
         -> std::optional<registry_position> {
         auto const asked_at = base::monotonic_clock::now();
         auto const wait = turns_reader ? base::duration{follower_timing::first_wait}
-                                       : base::duration{follower_timing::wait};
+                                       : change_wait(this->host.settings.changes);
         auto const changes = this->registry.await_upstreams(
             position, wait, asked_at + wait + follower_timing::timeout_margin);
         if (auto const* const failure = base::failure_of(changes)) {
--- a/linnetlane/router/settings.cpp
+++ b/linnetlane/router/settings.cpp
@@ -104,6 +104,9 @@
     reader.read_table("accounts",
                       [&](toml_reader& accounts) { read_accounts(accounts, target.accounts); });
     reader.read_table("quotas", [&](toml_reader& quotas) { read_quotas(quotas, target.quotas); });
+    reader.read_table("changes", [&](toml_reader& changes) {
+        read_positive(changes, "applied_within", target.changes.applied_within);
+    });
     reader.read_table(
         "log", [&](toml_reader& log) { log.read_word("level", target.log.level, log_levels); });
 }
--- a/linnetlane/router/settings.h
+++ b/linnetlane/router/settings.h
@@ -71,6 +71,13 @@
     double slack = 0;
 };
 
+// How changes of the configuration and of the upstreams reach this host.
+struct change_settings {
+    // The time within which a change is expected to take effect on every host. A call that waits
+    // for changes takes no longer, since a lost answer is noticed only at the end of the wait.
+    base::duration applied_within = std::chrono::seconds{2};
+};
+
 struct router_settings {
     base::host_id host;
     base::data_centre_id data_centre;
@@ -85,6 +92,7 @@
     generation_settings generation;
     account_settings accounts;
     quota_settings quotas;
+    change_settings changes;
     // The minimum time between the orders of two successive order givers.
     base::duration order_lease = std::chrono::seconds{3};
     // The whole fleet is started for the first time, so there is no previous order giver.
--- a/linnetlane/router/settings_test.cpp
+++ b/linnetlane/router/settings_test.cpp
@@ -24,6 +24,8 @@
 slack = 54
 [leaving]
 grace = "8s"
+[changes]
+applied_within = "1500ms"
 )"};
 
 BOOST_AUTO_TEST_CASE(settings_are_read_with_their_units) {
@@ -36,6 +38,7 @@
     BOOST_TEST(read->processor_share.value == 0.12);
     BOOST_TEST(read->retries.slack == 54.0);
     BOOST_TEST(base::to_seconds(read->leaving.grace) == 8.0);
+    BOOST_TEST(base::to_seconds(read->changes.applied_within) == 1.5);
 }
 
 BOOST_AUTO_TEST_CASE(all_problems_are_reported_at_once) {
