Forwarding: no host handles a request by an older configuration than the sender's

Cause: a host that reaches no upstream sends requests on without the version of its configuration, and the receiver, which the store had turned away, handled them by its own. The version in questions about quotas was stated, but nobody read it, so that a keeper with an older configuration refused requests of accounts that were new.

Ruled out: choosing receivers by what the sender knows of them (it can't know which ones were turned away since).

Change: a forwarded request states the version, and a host with an older one doesn't take it, so the next one is asked. A keeper with an older one gives no answer, and the host uses its own share of the quota.

Conclusion: fixed between hosts of this software version; older ones ignore the field.

--- a/linnetlane/protocol/router.thrift
+++ b/linnetlane/protocol/router.thrift
@@ -197,6 +197,9 @@
     5: i64 time_left,
     // The digest of the key that the request carried. Its field isn't sent.
     6: optional string key_digest,
+    // The version of the sender's configuration. A receiver with an older one doesn't take the
+    // request. Older senders don't state it.
+    7: optional i64 configuration_version,
 }
 
 // Requests a part of a client account's quota from the host that keeps it for the sender, or gives
--- a/linnetlane/router/host.h
+++ b/linnetlane/router/host.h
@@ -190,9 +190,20 @@
         auto caller = Wire::read_caller_request(forwarded->request);
         caller.timeout = forwarded->time_left;
         caller.key = forwarded->key;
+        if (forwarded->configuration && this->has_older_than(*forwarded->configuration)) {
+            this->refuse_unrouted(caller, responder, refusal_reason::older_configuration,
+                                  base::monotonic_clock::now(), true);
+            return;
+        }
         this->serve(std::move(caller), responder, true);
     }
 
+    // Returns whether the configuration in force here is older than `version`.
+    [[nodiscard]] auto has_older_than(routing::configuration_version version) const -> bool {
+        auto const current = this->view.routes.current();
+        return current == nullptr || current->version < version;
+    }
+
     auto serve_quota(runtime::http_request const& request, runtime::http_responder& responder)
         -> void {
         auto const question = decode_quota_question(request.body);
@@ -201,6 +212,9 @@
             this->log.write(telemetry::log_level::warning, "malformed quota request from a host",
                             {});
             response.status = 400;
+        } else if (this->has_older_than(question->configuration)) {
+            // The account and its quota may have changed; the peer uses its own share.
+            response.status = 503;
         } else {
             response.body = encode(this->quotas.answer(*question));
         }
@@ -460,6 +474,8 @@
                 return "refused: keys may have been taken away";
             case refusal_reason::quota_exceeded:
                 return "refused: account exceeds its quota";
+            case refusal_reason::older_configuration:
+                return "refused: the sending host has a newer configuration";
             case refusal_reason::leaving:
                 break;
         }
--- a/linnetlane/router/messages.h
+++ b/linnetlane/router/messages.h
@@ -84,6 +84,8 @@
     configuration_too_old,
     // The account has requested more than its quota.
     quota_exceeded,
+    // Another host sent the request on and has a newer configuration than this one.
+    older_configuration,
 };
 
 // Returns whether a request that is refused for `reason` certainly hasn't run and never will.
--- a/linnetlane/router/peer_codec.cpp
+++ b/linnetlane/router/peer_codec.cpp
@@ -399,26 +399,26 @@
     return runtime::http_request{"POST", std::string{changes_target}, {}, encode(question)};
 }
 
-auto make_forward_request(runtime::http_request const& request, base::duration time_left,
-                          std::optional<base::key_digest> const& key) -> runtime::http_request {
+auto make_forward_request(forwarded_request const& forwarded) -> runtime::http_request {
     auto out = peer_wire::forwarded_request{};
-    out.__set_method(request.method);
-    out.__set_target(request.target);
-    for (auto const& [name, value] : request.fields.entries) {
+    out.__set_method(forwarded.request.method);
+    out.__set_target(forwarded.request.target);
+    for (auto const& [name, value] : forwarded.request.fields.entries) {
         auto field = peer_wire::header_field{};
         field.__set_name(name);
         field.__set_value(value);
         out.fields.push_back(field);
     }
-    out.__set_body(request.body);
-    out.__set_time_left(microseconds_of(time_left));
-    if (key) {
-        out.__set_key_digest(key->value);
+    out.__set_body(forwarded.request.body);
+    out.__set_time_left(microseconds_of(forwarded.time_left));
+    if (forwarded.key) {
+        out.__set_key_digest(forwarded.key->value);
     }
-    return runtime::http_request{"POST",
-                                 std::string{key ? keyed_forward_target : forward_target},
-                                 {},
-                                 protocol::write_compact(out)};
+    if (forwarded.configuration) {
+        out.__set_configuration_version(static_cast<std::int64_t>(forwarded.configuration->value));
+    }
+    auto const target = forwarded.key ? keyed_forward_target : forward_target;
+    return runtime::http_request{"POST", std::string{target}, {}, protocol::write_compact(out)};
 }
 
 auto make_fact_report(std::vector<aged_fact> const& facts) -> runtime::http_request {
@@ -449,6 +449,10 @@
     if (in->__isset.key_digest) {
         decoded.key = base::key_digest{std::move(in->key_digest)};
     }
+    if (in->__isset.configuration_version) {
+        decoded.configuration =
+            routing::configuration_version{static_cast<std::uint64_t>(in->configuration_version)};
+    }
     return decoded;
 }
 
--- a/linnetlane/router/peer_codec.h
+++ b/linnetlane/router/peer_codec.h
@@ -94,6 +94,8 @@
     base::duration time_left{};
     // The digest of the key that the request carried, if there are accounts.
     std::optional<base::key_digest> key = std::nullopt;
+    // The version of the configuration in force at the sender. Older hosts don't state it.
+    std::optional<routing::configuration_version> configuration = std::nullopt;
 };
 
 // Requests a part of an account's quota from the host that keeps it for the sender.
@@ -125,10 +127,7 @@
 inline constexpr auto facts_target = std::string_view{"/facts"};
 
 [[nodiscard]] auto make_changes_request(changes_question const& question) -> runtime::http_request;
-// `key` is the digest of the key that the request carried, if there are accounts.
-[[nodiscard]] auto make_forward_request(runtime::http_request const& request,
-                                        base::duration time_left,
-                                        std::optional<base::key_digest> const& key = std::nullopt)
+[[nodiscard]] auto make_forward_request(forwarded_request const& forwarded)
     -> runtime::http_request;
 [[nodiscard]] auto make_fact_report(std::vector<aged_fact> const& facts) -> runtime::http_request;
 // Returns nothing if `text` is malformed.
--- a/linnetlane/router/peer_forwarder.h
+++ b/linnetlane/router/peer_forwarder.h
@@ -52,11 +52,11 @@
     // Returns the result, or nothing if another host may be asked.
     auto attempt(host_entry const& peer) -> std::optional<request_result> {
         auto const time_left = this->context.answer_by - base::monotonic_clock::now();
-        auto result =
-            exchange<Wire>(this->context, *peer.peers,
-                           make_forward_request(this->context.caller.forwarded, time_left,
-                                                this->context.caller.key),
-                           connection_use_for(this->context.route), this->context.answer_by);
+        auto result = exchange<Wire>(
+            this->context, *peer.peers,
+            make_forward_request({this->context.caller.forwarded, time_left,
+                                  this->context.caller.key, this->context.configuration->version}),
+            connection_use_for(this->context.route), this->context.answer_by);
         if (auto const* const failure = std::get_if<exchange_failure_kind>(&result)) {
             return this->after_failure(peer, *failure);
         }
--- a/linnetlane/router/peers_test.cpp
+++ b/linnetlane/router/peers_test.cpp
@@ -412,7 +412,7 @@
         sent.fields.add("Host", "a.example");
         sent.fields.add("X-Twice", "1");
         sent.fields.add("X-Twice", "2");
-        auto const message = make_forward_request(sent, std::chrono::milliseconds{1500});
+        auto const message = make_forward_request({sent, std::chrono::milliseconds{1500}});
         auto const read = decode_forwarded(message.body);
         RC_ASSERT(read.has_value());
         RC_ASSERT(read->request.method == sent.method);
@@ -428,7 +428,7 @@
         auto const key = *rc::gen::arbitrary<bool>() ? std::optional{any_key_digest()}
                                                      : std::optional<base::key_digest>{};
         auto const sent = runtime::http_request{"POST", "/p", {}, "body"};
-        auto const message = make_forward_request(sent, std::chrono::milliseconds{1500}, key);
+        auto const message = make_forward_request({sent, std::chrono::milliseconds{1500}, key});
         // Hosts that know no accounts don't take requests of accounts.
         RC_ASSERT(message.target == (key ? keyed_forward_target : forward_target));
         auto const read = decode_forwarded(message.body);
@@ -485,9 +485,18 @@
     BOOST_TEST(base::succeeded(decode_answer(protocol::write_compact(answer))));
 }
 
+BOOST_AUTO_TEST_CASE(a_forwarded_request_states_the_configuration_of_its_sender) {
+    auto message = forwarded_request{{"POST", "/p", {}, ""}, std::chrono::seconds{1}};
+    BOOST_TEST(!decode_forwarded(make_forward_request(message).body)->configuration.has_value());
+    message.configuration = routing::configuration_version{41};
+    auto const read = decode_forwarded(make_forward_request(message).body);
+    BOOST_REQUIRE(read.has_value());
+    BOOST_TEST(read->configuration.value().value == 41U);
+}
+
 BOOST_AUTO_TEST_CASE(malformed_forwarded_requests_are_rejected) {
     BOOST_TEST(!decode_forwarded("").has_value());
-    BOOST_TEST(!decode_forwarded(make_forward_request({"", "/", {}, {}}, {}).body).has_value());
+    BOOST_TEST(!decode_forwarded(make_forward_request({{"", "/", {}, {}}, {}}).body).has_value());
     BOOST_TEST(
         rc::check([](std::string const& bytes) { static_cast<void>(decode_forwarded(bytes)); }));
 }
--- a/linnetlane/router/router_metrics.cpp
+++ b/linnetlane/router/router_metrics.cpp
@@ -101,6 +101,8 @@
             return "unknown_key";
         case refusal_reason::configuration_too_old:
             return "configuration_too_old";
+        case refusal_reason::older_configuration:
+            return "older_configuration";
         case refusal_reason::quota_exceeded:
             return "quota_exceeded";
         case refusal_reason::leaving:
