Follower: silent hosts cost the time of one attempt, however many they are

Cause: a host that failed was skipped for 500 ms, and an attempt at a silent one takes 650 ms. So the first one was usable again when the second one had failed, and attempts were made one after the other. Hosts outside of the order also waited up to 2.25 s before they read the registry themselves.

Ruled out: a longer pause alone (the attempts of a long order still add up); reading the registry at once (all followers of a lost host would).

Change: a host that was silent isn't asked again while there is another source, unless another host follows it; when one falls silent, all that come next are asked at once for a sign of life (250 ms); the delay before the last resort is an eighth once a followed host fell silent.

The longest way to a new source is now 0.65 s for the silent host, 0.25 s for the others, and the delay of the last resort.

--- a/linnetlane/router/registry_follower.h
+++ b/linnetlane/router/registry_follower.h
@@ -11,8 +11,11 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cstddef>
 #include <functional>
+#include <memory>
 #include <optional>
+#include <set>
 #include <utility>
 #include <vector>
 
@@ -46,6 +49,9 @@
     static constexpr auto peer_wait = std::chrono::milliseconds{400};
     // The time after the end of that wait at which the registry is read instead.
     static constexpr auto peer_timeout_margin = std::chrono::milliseconds{250};
+    // How long a host may take to show that it is alive, after another one fell silent.
+    static constexpr auto liveness_timeout = std::chrono::milliseconds{250};
+    static constexpr auto liveness_check_interval = std::chrono::milliseconds{10};
     // The wait of the first read of changes after another source was used, short so that followers
     // soon can rely on this host.
     static constexpr auto first_wait = std::chrono::milliseconds{20};
@@ -478,6 +484,9 @@
             // Hosts with different orders could otherwise redirect to each other without end.
             view.relays.note_failure(relay.host, relay_failure::without_registry,
                                      base::monotonic_clock::now());
+            if (!update.relays.empty()) {
+                view.relays.note_followed_elsewhere(update.relays.front().host);
+            }
             return position;
         }
         view.relays.note_success(relay.host);
@@ -553,6 +562,46 @@
             relay.host,
             without_registry ? relay_failure::without_registry : relay_failure::unreachable,
             base::monotonic_clock::now());
+        if (!without_registry) {
+            this->find_silent_hosts();
+        }
+    }
+
+    // Asks all hosts that may be followed next, at the same time, for a sign of life and records
+    // those that give none. Followed in turn, each of them would cost the timeout of a question.
+    auto find_silent_hosts() -> void {
+        struct probe_results {
+            std::set<base::host_id> alive;
+            std::size_t ended = 0;
+        };
+        auto& relays = this->host.view.relays;
+        auto const asked = relays.candidates(base::monotonic_clock::now());
+        auto const deadline = base::monotonic_clock::now() + follower_timing::liveness_timeout;
+        auto const results = std::make_shared<probe_results>();
+        for (auto const& each : asked) {
+            this->host.pool.spawn([each, deadline, results] {
+                // Every host answers a report without facts at once.
+                auto const answered = runtime::fetch(*each.peers, make_fact_report({}),
+                                                     runtime::connection_use::pooled, deadline);
+                if (base::succeeded(answered)) {
+                    results->alive.insert(each.host);
+                }
+                ++results->ended;
+            });
+        }
+        while (results->ended < asked.size() && base::monotonic_clock::now() < deadline) {
+            runtime::sleep_until(base::monotonic_clock::now() +
+                                 follower_timing::liveness_check_interval);
+        }
+        auto const now = base::monotonic_clock::now();
+        for (auto const& each : asked) {
+            if (!results->alive.contains(each.host)) {
+                relays.note_failure(each.host, relay_failure::unreachable, now);
+            }
+        }
+        this->host.log.write(telemetry::log_level::info, "checked which hosts can be followed",
+                             {{"asked", static_cast<std::int64_t>(asked.size())},
+                              {"alive", static_cast<std::int64_t>(results->alive.size())}});
     }
 
     auto note_source(relay_choice const& choice) -> void {
--- a/linnetlane/router/relay_selector.cpp
+++ b/linnetlane/router/relay_selector.cpp
@@ -31,13 +31,16 @@
 }
 
 auto relay_selector::choose(base::time_point now) -> relay_choice {
-    for (auto const& each : this->order) {
-        if (!this->is_usable(each, now)) {
-            continue;
-        }
-        this->reads_registry = each.host == this->self.host;
+    auto chosen = std::ranges::find_if(
+        this->order, [&](auto const& each) { return this->is_preferred(each, now); });
+    if (chosen == this->order.end()) {
+        chosen = std::ranges::find_if(this->order,
+                                      [&](auto const& each) { return this->is_usable(each, now); });
+    }
+    if (chosen != this->order.end()) {
+        this->reads_registry = chosen->host == this->self.host;
         return this->reads_registry ? relay_choice{change_origin::registry, std::nullopt}
-                                    : relay_choice{change_origin::relay, each};
+                                    : relay_choice{change_origin::relay, *chosen};
     }
     if (this->is_last_resort(now)) {
         this->reads_registry = true;
@@ -47,6 +50,19 @@
     return {};
 }
 
+auto relay_selector::candidates(base::time_point now) const -> std::vector<host_entry> {
+    auto found = std::vector<host_entry>{};
+    for (auto const& each : this->order) {
+        if (each.host == this->self.host) {
+            break;
+        }
+        if (this->is_preferred(each, now)) {
+            found.push_back(each);
+        }
+    }
+    return found;
+}
+
 auto relay_selector::order_for_followers(base::time_point now) const -> std::vector<host_entry> {
     auto usable = std::vector<host_entry>{};
     for (auto const& each : this->order) {
@@ -63,6 +79,17 @@
     return usable;
 }
 
+auto relay_selector::is_preferred(host_entry const& one, base::time_point now) const -> bool {
+    if (!this->is_usable(one, now)) {
+        return false;
+    }
+    auto const found = this->failures.find(one.host);
+    auto const was_silent = found != this->failures.end() && one.host != this->self.host &&
+                            found->second.kind == relay_failure::unreachable;
+    return !was_silent || found->second.followed_elsewhere ||
+           now >= found->second.last + reader_cooldown;
+}
+
 auto relay_selector::is_usable(host_entry const& one, base::time_point now) const -> bool {
     auto const found = this->failures.find(one.host);
     if (found == this->failures.end()) {
@@ -91,7 +118,12 @@
         return found != this->failures.end() &&
                found->second.kind == relay_failure::without_registry;
     });
-    auto const delay = this->last_resort_delay * (outage ? outage_delay_factor : 1);
+    auto delay = this->last_resort_delay;
+    if (outage) {
+        delay *= outage_delay_factor;
+    } else if (this->had_source) {
+        delay /= loss_delay_divisor;
+    }
     return now >= *this->without_source_since + delay;
 }
 
@@ -107,6 +139,7 @@
     auto& record = this->failures[host];
     record.last = now;
     record.kind = kind;
+    record.followed_elsewhere = false;
     record.cooldown =
         record.cooldown == base::duration::zero() ? initial : std::min(limit, record.cooldown * 2);
     if (own) {
@@ -124,9 +157,16 @@
 auto relay_selector::note_success(base::host_id const& host) -> void {
     this->failures.erase(host);
     this->without_source_since.reset();
+    this->had_source = true;
     if (host == this->self.host) {
         this->lost_registry = false;
     }
 }
 
+auto relay_selector::note_followed_elsewhere(base::host_id const& host) -> void {
+    for (auto& [id, record] : this->failures) {
+        record.followed_elsewhere = id == host;
+    }
+}
+
 }  // namespace linnetlane::router
--- a/linnetlane/router/relay_selector.h
+++ b/linnetlane/router/relay_selector.h
@@ -5,7 +5,8 @@
 // registered there. Each of them tells its followers which hosts to follow and in which order. If
 // the first one fails, the next one in the order takes its place, so that a lost host doesn't send
 // all of its followers to the registry. A host that isn't in the order reads the registry only as a
-// last resort, after a delay that differs between hosts.
+// last resort, after a delay that differs between hosts. A host that was silent is not asked again
+// while there is another source, since each attempt costs the time until it has failed.
 //
 //   auto relays = relay_selector{self};
 //   relays.set_order(order_relays(registered, {}));
@@ -73,6 +74,8 @@
     // Lengthens the delay before the last resort if hosts of the order are alive but have lost the
     // registry, which then is probably unavailable to all.
     static constexpr auto outage_delay_factor = 4;
+    // Divides that delay if a followed host fell silent, so that changes are late only briefly.
+    static constexpr auto loss_delay_divisor = 8;
 
     explicit relay_selector(host_entry own) : self{std::move(own)} {}
 
@@ -88,11 +91,16 @@
     // Returns the source to use now. This host reads the registry if all hosts before it in the
     // order have failed.
     [[nodiscard]] auto choose(base::time_point now) -> relay_choice;
+    // Returns the other hosts that `choose` would return one after the other if they failed. This
+    // host itself and those after it in the order are not among them.
+    [[nodiscard]] auto candidates(base::time_point now) const -> std::vector<host_entry>;
     // Returns the hosts that followers of this host are to follow, in this order.
     [[nodiscard]] auto order_for_followers(base::time_point now) const -> std::vector<host_entry>;
     // Record whether a source provided changes. For the registry, `host` is this host.
     auto note_failure(base::host_id const& host, relay_failure kind, base::time_point now) -> void;
     auto note_success(base::host_id const& host) -> void;
+    // Records that another host follows `host`, and no other one that failed here.
+    auto note_followed_elsewhere(base::host_id const& host) -> void;
 
     [[nodiscard]] auto own_entry() const -> host_entry const& { return this->self; }
 
@@ -101,8 +109,13 @@
         base::time_point last;
         base::duration cooldown{};
         relay_failure kind = relay_failure::unreachable;
+        // Another host follows it, so it may have been silent only to this one.
+        bool followed_elsewhere = false;
     };
 
+    // Returns whether `one` may be chosen while there are other sources.
+    [[nodiscard]] auto is_preferred(host_entry const& one, base::time_point now) const -> bool;
+    // Returns whether `one` may be chosen if there is no other source.
     [[nodiscard]] auto is_usable(host_entry const& one, base::time_point now) const -> bool;
     // Returns whether this host must read the registry because no other source has been usable for
     // long enough.
@@ -118,6 +131,8 @@
     bool reads_registry = false;
     // This host's last attempt to read the registry failed.
     bool lost_registry = false;
+    // Some source has provided changes.
+    bool had_source = false;
 };
 
 }  // namespace linnetlane::router
--- a/linnetlane/router/relay_selector_test.cpp
+++ b/linnetlane/router/relay_selector_test.cpp
@@ -126,6 +126,64 @@
     BOOST_TEST(chosen(relays, start + 1s) == "registry");
 }
 
+// Two hosts that fell silent were each asked twice before this host read the registry itself.
+BOOST_AUTO_TEST_CASE(a_silent_host_is_not_asked_again_while_there_is_another_source) {
+    constexpr auto attempt = 650ms;
+    for (auto silent = std::size_t{1}; silent < relay_selector::max_order; ++silent) {
+        auto order = std::vector<host_entry>{};
+        for (auto number = std::size_t{0}; number <= silent; ++number) {
+            order.push_back(entry(fmt::format("h{}", number)));
+        }
+        auto relays = relay_selector{order.back()};
+        relays.set_order(order);
+        auto now = start;
+        for (auto number = std::size_t{0}; number < silent; ++number) {
+            BOOST_TEST(chosen(relays, now) == order[number].host.value);
+            now += attempt;
+            relays.note_failure(order[number].host, relay_failure::unreachable, now);
+        }
+        BOOST_TEST(chosen(relays, now) == "registry");
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_silent_host_is_asked_again_soon_if_another_host_follows_it) {
+    auto relays = relay_selector{entry("h9")};
+    relays.set_last_resort_delay(1h);
+    relays.set_order({entry("h1"), entry("h2"), entry("h3")});
+    relays.note_failure(base::host_id{"h1"}, relay_failure::unreachable, start);
+    BOOST_TEST(chosen(relays, start + relay_selector::initial_cooldown) == "h2");
+    relays.note_failure(base::host_id{"h2"}, relay_failure::without_registry, start);
+    relays.note_followed_elsewhere(base::host_id{"h1"});
+    BOOST_TEST(chosen(relays, start) == "h3");
+    BOOST_TEST(chosen(relays, start + relay_selector::initial_cooldown) == "h1");
+    // The latest word counts.
+    relays.note_followed_elsewhere(base::host_id{"h3"});
+    BOOST_TEST(chosen(relays, start + relay_selector::initial_cooldown) == "h2");
+}
+
+BOOST_AUTO_TEST_CASE(hosts_before_this_one_that_were_not_silent_are_candidates) {
+    auto relays = relay_selector{entry("h4")};
+    relays.set_order({entry("h1"), entry("h2"), entry("h3"), entry("h4"), entry("h5")});
+    relays.note_failure(base::host_id{"h2"}, relay_failure::unreachable, start);
+    BOOST_TEST(names(relays.candidates(start + 1s)) == (std::vector<std::string>{"h1", "h3"}),
+               boost::test_tools::per_element());
+    auto outside = relay_selector{entry("h9")};
+    outside.set_order({entry("h1"), entry("h2")});
+    BOOST_TEST(names(outside.candidates(start)) == (std::vector<std::string>{"h1", "h2"}),
+               boost::test_tools::per_element());
+}
+
+BOOST_AUTO_TEST_CASE(the_last_resort_comes_soon_after_a_followed_host_fell_silent) {
+    auto relays = relay_selector{entry("h9")};
+    relays.set_last_resort_delay(800ms);
+    relays.set_order({entry("h1")});
+    relays.note_success(base::host_id{"h1"});
+    relays.note_failure(base::host_id{"h1"}, relay_failure::unreachable, start);
+    BOOST_TEST(chosen(relays, start) == "");
+    BOOST_TEST(chosen(relays, start + 99ms) == "");
+    BOOST_TEST(chosen(relays, start + 100ms) == "registry");
+}
+
 BOOST_AUTO_TEST_CASE(the_last_resort_comes_later_if_the_hosts_to_follow_lost_the_registry) {
     auto relays = relay_selector{entry("h9")};
     relays.set_last_resort_delay(100ms);
