Streams: a host that has just started infers no version from a missing record

Reported by another operator: streams that callers resume after all hosts were killed in a rollout are joined from two software versions. It happens here.

Cause: streams of a service with one version have no record. A host that started after the older version had left knew the newer one only, found no record and took the newer one for the version that began the stream. A case of version_history_test stated this inference; it was wrong, since the version can leave while no host is there, and asks for the opposite now.

Ruled out: lost records (hosts that see both versions refuse streams without one, and did).

Change: a missing record tells the version only if this host has known the upstreams for 30 s, as long as a stream can be resumed, or the oldest upstream of that version has run for 10 s longer. A request that resumes a stream is recorded too, since its caller may name it when it resumes again.

Conclusion: fixed as far as start times are stated.

--- a/linnetlane/router/generation_forwarder.h
+++ b/linnetlane/router/generation_forwarder.h
@@ -114,9 +114,9 @@
         return result;
     }
 
-    // A resumed stream is known by the request that began it.
+    // Also of a request that resumes a stream, since callers may name it when they resume again.
     auto note_origin(routing::upstream_record const& engine) -> void {
-        if (this->context.route.resumable && !this->required) {
+        if (this->context.route.resumable && !this->relay.started()) {
             this->context.host.view.note_stream(this->context.service,
                                                 {this->context.caller.id, engine.software},
                                                 base::monotonic_clock::now());
--- a/linnetlane/router/plain_forwarder.h
+++ b/linnetlane/router/plain_forwarder.h
@@ -123,7 +123,7 @@
     auto attempt(routing::upstream_record const& target) -> std::optional<request_result> {
         ++this->sends;
         this->tried.insert(target.id);
-        if (this->context.route.resumable && !this->context.required) {
+        if (this->context.route.resumable) {
             this->context.host.view.note_stream(this->context.service,
                                                 {this->context.caller.id, target.software},
                                                 base::monotonic_clock::now());
--- a/linnetlane/router/routing_view.cpp
+++ b/linnetlane/router/routing_view.cpp
@@ -1,7 +1,8 @@
 #include "linnetlane/router/routing_view.h"
 
 #include <algorithm>
-#include <set>
+#include <chrono>
+#include <map>
 #include <utility>
 
 namespace linnetlane::router {
@@ -15,6 +16,18 @@
     return *state;
 }
 
+namespace {
+
+// Returns how long the upstream has run, or zero if that isn't known.
+auto time_since_start(routing::upstream_record const& record) -> base::duration {
+    auto const started = std::chrono::milliseconds{record.started.value};
+    auto const now = std::chrono::system_clock::now().time_since_epoch();
+    return record.started.value == 0 ? base::duration::zero()
+                                     : std::chrono::duration_cast<base::duration>(now - started);
+}
+
+}  // namespace
+
 auto routing_view::refresh_pools() -> void {
     auto const now = base::monotonic_clock::now();
     auto by_service = std::map<base::service_id, std::vector<routing::upstream_record>>{};
@@ -28,9 +41,10 @@
         auto& state = this->service(id);
         state.plain.set_members(records);
         state.generation.set_members(records);
-        auto present = std::set<base::software_version>{};
+        auto present = std::map<base::software_version, base::duration>{};
         for (auto const& record : records) {
-            present.insert(record.software);
+            auto& oldest = present[record.software];
+            oldest = std::max(oldest, time_since_start(record));
         }
         state.versions.note_present(present, now);
     }
--- a/linnetlane/routing/upstream_set.h
+++ b/linnetlane/routing/upstream_set.h
@@ -43,7 +43,8 @@
     // Empty if the registry doesn't state it. Differs between the processes of a service during a
     // rollout.
     base::software_version software;
-    // Distinguishes processes with the same id or address; a later start has a higher value.
+    // When the process started, in Unix milliseconds; 0 if the registry doesn't state it.
+    // Distinguishes processes with the same id or address.
     base::incarnation started;
     // The number of requests that the upstream runs concurrently.
     std::size_t slots = 1;
--- a/linnetlane/routing/version_history.cpp
+++ b/linnetlane/routing/version_history.cpp
@@ -6,7 +6,7 @@
 
 namespace linnetlane::routing {
 
-auto version_history::note_present(std::set<base::software_version> const& present,
+auto version_history::note_present(std::map<base::software_version, base::duration> const& present,
                                    base::time_point now) -> void {
     if (!this->observed_since && !present.empty()) {
         this->observed_since = now;
@@ -17,10 +17,13 @@
             one.until = std::min(one.until, now);
         }
     }
-    for (auto const& version : present) {
-        auto const [place, added] =
-            this->versions.try_emplace(version, presence{now, base::time_point::max()});
-        place->second.until = base::time_point::max();
+    for (auto const& [version, oldest] : present) {
+        auto const running_since = now - oldest;
+        auto const [place, added] = this->versions.try_emplace(
+            version, presence{now, running_since, base::time_point::max()});
+        auto& one = place->second;
+        one.running_since = std::min(one.running_since, running_since);
+        one.until = base::time_point::max();
     }
 }
 
@@ -39,17 +42,23 @@
     return this->recent(now).size() > 1;
 }
 
+auto version_history::has_observed_long_enough(base::time_point now) const -> bool {
+    return this->observed_since && now - *this->observed_since >= stream_lifetime;
+}
+
 auto version_history::certain_version(base::time_point now) const
     -> std::optional<base::software_version> {
     auto const found = this->recent(now);
-    auto const observed = this->observed_since && now - *this->observed_since >= stream_lifetime;
-    return found.size() == 1 && observed ? std::optional{found.begin()->first} : std::nullopt;
+    return found.size() == 1 && this->has_observed_long_enough(now)
+               ? std::optional{found.begin()->first}
+               : std::nullopt;
 }
 
 auto version_history::version_without_record(base::time_point now) const
     -> std::optional<base::software_version> {
+    auto const found = this->recent(now);
     auto by_age = std::vector<std::pair<base::time_point, base::software_version>>{};
-    for (auto const& [version, one] : this->recent(now)) {
+    for (auto const& [version, one] : found) {
         by_age.emplace_back(one.since, version);
     }
     std::ranges::sort(by_age);
@@ -58,7 +67,11 @@
     }
     auto const alone = by_age.size() == 1 || (by_age[0].first < by_age[1].first &&
                                               now < by_age[1].first + stream_lifetime);
-    return alone ? std::optional{by_age.front().second} : std::nullopt;
+    auto const& first = by_age.front().second;
+    auto const began_all =
+        this->has_observed_long_enough(now) ||
+        now - found.at(first).running_since >= stream_lifetime + registration_lag;
+    return alone && began_all ? std::optional{first} : std::nullopt;
 }
 
 }  // namespace linnetlane::routing
--- a/linnetlane/routing/version_history.h
+++ b/linnetlane/routing/version_history.h
@@ -5,8 +5,8 @@
 // version of each stream while there are several. While there is only one, streams need no record.
 //
 //   auto versions = version_history{};
-//   versions.note_present({v1}, now);
-//   versions.note_present({v1, v2}, later);   // a rollout begins
+//   versions.note_present({{v1, 10min}}, now);
+//   versions.note_present({{v1, 20min}, {v2, 1s}}, later);   // a rollout begins
 //   versions.is_mixed(later);                 // true: streams are recorded
 
 #ifndef LINNETLANE_ROUTING_VERSION_HISTORY_H_
@@ -15,7 +15,6 @@
 #include <chrono>
 #include <map>
 #include <optional>
-#include <set>
 
 #include "linnetlane/base/ids.h"
 #include "linnetlane/base/time.h"
@@ -24,13 +23,16 @@
 
 // The longest time from the begin of a stream until a caller resumes it.
 inline constexpr auto stream_lifetime = std::chrono::seconds{30};
+// The longest time from the start of an upstream until all hosts know it, and the error of clocks.
+inline constexpr auto registration_lag = std::chrono::seconds{10};
 
 // Not thread-safe; must be used on one worker only. There is one instance for each service.
 class version_history {
 public:
-    // Records the versions of the upstreams that are known now. Call after each change.
-    auto note_present(std::set<base::software_version> const& present, base::time_point now)
-        -> void;
+    // Records the versions of the upstreams that are known now, with the time for which the oldest
+    // upstream of each has run; zero if that isn't known. Call after each change.
+    auto note_present(std::map<base::software_version, base::duration> const& present,
+                      base::time_point now) -> void;
     // Returns whether streams of several versions may be resumed now or may begin.
     [[nodiscard]] auto is_mixed(base::time_point now) const -> bool;
     // Returns the only version that can have begun a stream that is resumed now, without regard to
@@ -39,17 +41,23 @@
     [[nodiscard]] auto certain_version(base::time_point now) const
         -> std::optional<base::software_version>;
     // Returns the version of a resumed stream that has no record; nothing if there may be several.
-    // A stream that began before a rollout has no record, since there was one version only.
+    // A stream that began before a rollout has no record, since there was one version only. A host
+    // that has just started can't know of a version that left before, unless upstreams of the
+    // present one have run for longer than the stream.
     [[nodiscard]] auto version_without_record(base::time_point now) const
         -> std::optional<base::software_version>;
 
 private:
     struct presence {
         base::time_point since;
+        // When its oldest upstream started.
+        base::time_point running_since;
         // The maximum while the version is present.
         base::time_point until;
     };
 
+    // Returns whether this host has known the upstreams for as long as a stream can be resumed.
+    [[nodiscard]] auto has_observed_long_enough(base::time_point now) const -> bool;
     [[nodiscard]] static auto is_recent(presence const& one, base::time_point now) -> bool;
     // Returns the versions that may have begun a stream that is resumed now.
     [[nodiscard]] auto recent(base::time_point now) const
--- a/linnetlane/routing/version_history_test.cpp
+++ b/linnetlane/routing/version_history_test.cpp
@@ -14,7 +14,7 @@
 
 BOOST_AUTO_TEST_CASE(a_steady_service_needs_no_records) {
     auto versions = version_history{};
-    versions.note_present({v1}, start);
+    versions.note_present({{v1, 1h}}, start);
     BOOST_TEST(!versions.is_mixed(start + 1h));
     BOOST_TEST((versions.certain_version(start + stream_lifetime) == v1));
 }
@@ -23,17 +23,30 @@
     auto versions = version_history{};
     BOOST_TEST(!versions.certain_version(start).has_value());
     versions.note_present({}, start - 1h);
-    versions.note_present({v1}, start);
+    versions.note_present({{v1, 1s}}, start);
     BOOST_TEST(!versions.certain_version(start + 5s).has_value());
-    // Another version's stream would have a record.
-    BOOST_TEST((versions.version_without_record(start + 5s) == v1));
+    // Another version may have left before the host started.
+    BOOST_TEST(!versions.version_without_record(start + 5s).has_value());
+    BOOST_TEST((versions.version_without_record(start + stream_lifetime) == v1));
+}
+
+BOOST_AUTO_TEST_CASE(a_version_that_has_run_for_longer_than_a_stream_began_those_without_a_record) {
+    auto versions = version_history{};
+    versions.note_present({{v1, stream_lifetime}}, start);
+    BOOST_TEST(!versions.version_without_record(start).has_value());
+    BOOST_TEST(!versions.version_without_record(start + registration_lag - 1s).has_value());
+    BOOST_TEST((versions.version_without_record(start + registration_lag) == v1));
+    // Without a start nothing is known.
+    auto unknown = version_history{};
+    unknown.note_present({{v1, 0s}}, start);
+    BOOST_TEST(!unknown.version_without_record(start + 5s).has_value());
 }
 
 BOOST_AUTO_TEST_CASE(streams_from_before_a_rollout_are_of_the_older_version) {
     auto versions = version_history{};
-    versions.note_present({v1}, start);
+    versions.note_present({{v1, 1h}}, start);
     auto const rollout = start + 1min;
-    versions.note_present({v1, v2}, rollout);
+    versions.note_present({{v1, 1h}, {v2, 1h}}, rollout);
     BOOST_TEST(versions.is_mixed(rollout));
     BOOST_TEST(!versions.certain_version(rollout).has_value());
     BOOST_TEST((versions.version_without_record(rollout + 5s) == v1));
@@ -43,10 +56,10 @@
 
 BOOST_AUTO_TEST_CASE(a_version_that_has_left_counts_as_long_as_its_streams_can_be_resumed) {
     auto versions = version_history{};
-    versions.note_present({v1}, start);
-    versions.note_present({v1, v2}, start + 1min);
+    versions.note_present({{v1, 1h}}, start);
+    versions.note_present({{v1, 1h}, {v2, 1h}}, start + 1min);
     auto const left = start + 2min;
-    versions.note_present({v2}, left);
+    versions.note_present({{v2, 1h}}, left);
     BOOST_TEST(versions.is_mixed(left + stream_lifetime - 1s));
     BOOST_TEST(!versions.version_without_record(left + 1s).has_value());
     BOOST_TEST(!versions.is_mixed(left + stream_lifetime));
@@ -55,9 +68,9 @@
 
 BOOST_AUTO_TEST_CASE(versions_that_were_there_when_the_host_started_are_not_told_apart) {
     auto versions = version_history{};
-    versions.note_present({v1, v2}, start);
+    versions.note_present({{v1, 1h}, {v2, 1h}}, start);
     BOOST_TEST(!versions.version_without_record(start + 1s).has_value());
-    versions.note_present({v1, v2, v3}, start + 2s);
+    versions.note_present({{v1, 1h}, {v2, 1h}, {v3, 1h}}, start + 2s);
     BOOST_TEST(!versions.version_without_record(start + 3s).has_value());
 }
 
