Exchanges: an earlier refusal on a kept connection is no answer

Reported by other operators: a faulty runner writes an earlier refusal once more on a kept connection, and callers are told that a request has not run that has, or it runs twice. It happens here.

Cause: answers to other requests are known by the request that they name, but one that names none was taken for the answer that is due. Refusals of reservations name none, and streams go over the same connections. A second attempt of a request at the same engine could also get a copy that names it.

Ruled out: plain requests (the body of a refusal isn't read, so its connection is closed).

Change: on a connection that carried an earlier request, an answer that names no request is unusable, so the request counts as possibly run. A request goes to the same upstream a second time over a new connection.

Conclusion: fixed for requests; reservations may still be taken for refused.

--- a/linnetlane/router/request_context.h
+++ b/linnetlane/router/request_context.h
@@ -8,6 +8,7 @@
 #include <cstddef>
 #include <memory>
 #include <optional>
+#include <set>
 #include <utility>
 #include <variant>
 #include <vector>
@@ -108,6 +109,8 @@
     bool from_peer = false;
     // What the quarantine knows the request by.
     routing::request_subjects subjects = {};
+    // The upstreams that the request was sent to.
+    mutable std::set<base::endpoint> sent_to = {};
 
     [[nodiscard]] auto state() const -> service_state& {
         return this->host.view.service(this->service);
@@ -267,7 +270,8 @@
                : runtime::connection_use::pooled;
 }
 
-// Sends `message` to `to` and reads the head of the answer. Skips answers to other requests.
+// Sends `message` to `to` and reads the head of the answer. Skips answers to other requests. On a
+// connection that carried an earlier request, an answer that names no request may belong to that.
 template <router_wire Wire>
 auto exchange(request_context const& context, base::endpoint const& to,
               runtime::http_request const& message, runtime::connection_use use,
@@ -300,6 +304,9 @@
     auto stream = base::take_value(std::move(opened));
     for (auto skipped = 0; skipped < max_skipped_answers; ++skipped) {
         auto head = Wire::read_answer(stream.status(), stream.fields());
+        if (!head.request && stream.reuses_connection()) {
+            return exchange_failure_kind::unusable_answer;
+        }
         auto const foreign = head.request && !(*head.request == context.caller.id);
         if (!foreign) {
             return opened_answer{std::move(stream), std::move(head)};
@@ -318,7 +325,10 @@
                             runtime::http_request const& message, runtime::connection_use use,
                             base::time_point deadline) -> exchange_result {
     context.note_sent(to, base::monotonic_clock::now());
-    auto result = exchange<Wire>(context, to, message, use, deadline);
+    // An answer to an earlier attempt at the same upstream would name the same request.
+    auto const is_first = context.sent_to.insert(to).second;
+    auto result = exchange<Wire>(context, to, message,
+                                 is_first ? use : runtime::connection_use::fresh, deadline);
     auto const* const failure = std::get_if<exchange_failure_kind>(&result);
     if (failure == nullptr) {
         context.note_answer();
--- a/linnetlane/runtime/http_client.cpp
+++ b/linnetlane/runtime/http_client.cpp
@@ -57,6 +57,8 @@
 
     internal::byte_stream stream;
     beast::flat_buffer buffer{max_buffered_bytes};
+    // It has carried an earlier request.
+    bool reused = false;
     // Not used for another request after this.
     base::time_point reusable_until = base::time_point::max();
 };
@@ -163,6 +165,7 @@
     if (use != connection_use::fresh) {
         if (auto kept = take_idle(to)) {
             kept->stream.expires_at(deadline);
+            kept->reused = true;
             return kept;
         }
     }
@@ -209,6 +212,7 @@
 struct http_stream::state {
     base::endpoint to;
     connection_pointer used;
+    bool reuses_connection = false;
     std::shared_ptr<outgoing> sending;
     // The response to a HEAD request has none.
     bool has_body = true;
@@ -306,6 +310,10 @@
     return this->opened->fields;
 }
 
+auto http_stream::reuses_connection() const -> bool {
+    return this->opened->reuses_connection;
+}
+
 auto http_stream::read_some(base::time_point deadline) -> base::result<std::string, http_failure> {
     auto& own = *this->opened;
     if (own.finished) {
@@ -401,6 +409,7 @@
     auto state = std::make_unique<http_stream::state>();
     state->to = to;
     state->used = base::take_value(std::move(taken));
+    state->reuses_connection = state->used->reused;
     hook([used = state->used] { used->stream.close(); });
     state->used->stream.expires_at(deadline);
     state->sending = std::make_shared<outgoing>(outgoing{state->used, to_message(to, request)});
