Follower: a host that has begun to answer isn't silent

Callers of large deployments saw older configurations. Followers of a host that sends 1,829 routes to all of them gave it up at their limit of 650 ms while the answer was arriving, and turned to other hosts first.

Cause: one limit for the whole answer. A question waits up to 400 ms for a change, and what was left, 250 ms, had to be enough for the transfer.

Change: the limit is for the begin of an answer; the rest has a second more.

Conclusion: one cause of late configurations on large deployments is gone; that it was the reported one is suspected, not shown.

--- a/linnetlane/router/registry_follower.h
+++ b/linnetlane/router/registry_follower.h
@@ -47,8 +47,12 @@
     static constexpr auto max_backoff = std::chrono::milliseconds{800};
     // How long a followed host waits for changes before it answers.
     static constexpr auto peer_wait = std::chrono::milliseconds{400};
-    // The time after the end of that wait at which the registry is read instead.
+    // The time after the end of that wait at which a host that has not begun to answer is silent.
     static constexpr auto peer_timeout_margin = std::chrono::milliseconds{250};
+    // The time for the rest of an answer that has begun. Hosts send a large configuration to all of
+    // their followers at once.
+    static constexpr auto peer_answer_time = std::chrono::milliseconds{1000};
+    static constexpr auto max_peer_answer_bytes = std::size_t{16} * 1024 * 1024;
     // How long a host may take to show that it is alive, after another one fell silent.
     static constexpr auto liveness_timeout = std::chrono::milliseconds{250};
     static constexpr auto liveness_check_interval = std::chrono::milliseconds{10};
@@ -542,15 +546,21 @@
         question.known_facts = this->received_facts;
         question.facts = with_ages(view.facts.changed_since(this->sent_facts, now), now);
         this->asked_facts = view.facts.position();
-        auto const answered = runtime::fetch(
+        auto opened = runtime::open_stream(
             *relay.peers, make_changes_request(question), runtime::connection_use::pooled,
             base::monotonic_clock::now() + follower_timing::peer_wait +
                 follower_timing::peer_timeout_margin);
-        auto const* const response = std::get_if<runtime::http_response>(&answered);
-        if (response == nullptr || response->status != 200) {
+        if (base::failure_of(opened) != nullptr) {
             return registry_failure::malformed;
         }
-        return decode_answer(response->body);
+        auto answer = base::take_value(std::move(opened));
+        auto const body =
+            answer.read_all(follower_timing::max_peer_answer_bytes,
+                            base::monotonic_clock::now() + follower_timing::peer_answer_time);
+        if (base::failure_of(body) != nullptr || answer.status() != 200) {
+            return registry_failure::malformed;
+        }
+        return decode_answer(base::value_of(body));
     }
 
     auto note_relay_lost(host_entry const& relay, registry_failure failure) -> void {
