Streams: the start that a record states may be any number

An entry may come from another writer, and converting an extreme start to nanoseconds would overflow. The time that an upstream has run is at most an hour now, and zero for a start in the future. Found by reading the change; only_a_plausible_start_tells_for_how_long_an_upstream_has_run has the cases.

--- a/linnetlane/router/routing_view.cpp
+++ b/linnetlane/router/routing_view.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cstdint>
 #include <map>
 #include <utility>
 
@@ -18,12 +19,19 @@
 
 namespace {
 
-// Returns how long the upstream has run, or zero if that isn't known.
+// Returns how long the upstream has run, at most an hour, or zero if that isn't known. Its record
+// may state any number.
 auto time_since_start(routing::upstream_record const& record) -> base::duration {
-    auto const started = std::chrono::milliseconds{record.started.value};
-    auto const now = std::chrono::system_clock::now().time_since_epoch();
-    return record.started.value == 0 ? base::duration::zero()
-                                     : std::chrono::duration_cast<base::duration>(now - started);
+    constexpr auto most = std::chrono::milliseconds{std::chrono::hours{1}};
+    auto const since_epoch = std::chrono::system_clock::now().time_since_epoch();
+    auto const now = static_cast<std::uint64_t>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(since_epoch).count());
+    auto const started = record.started.value;
+    if (started == 0 || started >= now) {
+        return base::duration::zero();
+    }
+    auto const count = std::min(now - started, static_cast<std::uint64_t>(most.count()));
+    return std::chrono::milliseconds{count};
 }
 
 }  // namespace
--- a/linnetlane/router/routing_view_test.cpp
+++ b/linnetlane/router/routing_view_test.cpp
@@ -4,6 +4,8 @@
 #include "linnetlane/router/registry_follower.h"
 
 #include <chrono>
+#include <cstdint>
+#include <limits>
 #include <string>
 
 #include <boost/test/unit_test.hpp>
@@ -81,5 +83,26 @@
     BOOST_TEST(found[1].host.value == "h2");
 }
 
+BOOST_AUTO_TEST_CASE(only_a_plausible_start_tells_for_how_long_an_upstream_has_run) {
+    auto const knows_version = [](std::uint64_t started) {
+        auto view = routing_view{settings_of_restart(false), 1};
+        auto record = routing::upstream_record{};
+        record.id.value = "u1";
+        record.service.value = "s";
+        record.software.value = "v1";
+        record.started.value = started;
+        view.upstreams.put(record);
+        view.refresh_pools();
+        return view.service(record.service)
+            .versions.version_without_record(base::monotonic_clock::now())
+            .has_value();
+    };
+    BOOST_TEST(knows_version(1'700'000'000'000));
+    BOOST_TEST(knows_version(1));
+    BOOST_TEST(!knows_version(0));
+    BOOST_TEST(!knows_version(4'000'000'000'000));
+    BOOST_TEST(!knows_version(std::numeric_limits<std::uint64_t>::max()));
+}
+
 }  // namespace
 }  // namespace linnetlane::router
