Router: names and comments of the last changes; stand-ins ask what they did

From reading the whole change: has_older_than is is_behind, began_all is knows_earlier_versions, two comments had to be read twice, a search for silent hosts without hosts to ask is no search, and whether a connection is reused was stored twice. Versions that come in a rollout have run for a second in the tests, not for an hour.

--- a/linnetlane/router/host.h
+++ b/linnetlane/router/host.h
@@ -190,7 +190,7 @@
         auto caller = Wire::read_caller_request(forwarded->request);
         caller.timeout = forwarded->time_left;
         caller.key = forwarded->key;
-        if (forwarded->configuration && this->has_older_than(*forwarded->configuration)) {
+        if (forwarded->configuration && this->is_behind(*forwarded->configuration)) {
             this->refuse_unrouted(caller, responder, refusal_reason::older_configuration,
                                   base::monotonic_clock::now(), true);
             return;
@@ -199,7 +199,7 @@
     }
 
     // Returns whether the configuration in force here is older than `version`.
-    [[nodiscard]] auto has_older_than(routing::configuration_version version) const -> bool {
+    [[nodiscard]] auto is_behind(routing::configuration_version version) const -> bool {
         auto const current = this->view.routes.current();
         return current == nullptr || current->version < version;
     }
@@ -212,7 +212,7 @@
             this->log.write(telemetry::log_level::warning, "malformed quota request from a host",
                             {});
             response.status = 400;
-        } else if (this->has_older_than(question->configuration)) {
+        } else if (this->is_behind(question->configuration)) {
             // The account and its quota may have changed; the peer uses its own share.
             response.status = 503;
         } else {
--- a/linnetlane/router/registry_follower.h
+++ b/linnetlane/router/registry_follower.h
@@ -47,7 +47,8 @@
     static constexpr auto max_backoff = std::chrono::milliseconds{800};
     // How long a followed host waits for changes before it answers.
     static constexpr auto peer_wait = std::chrono::milliseconds{400};
-    // The time after the end of that wait at which a host that has not begun to answer is silent.
+    // The time after the end of that wait at which a host counts as silent if it has not begun to
+    // answer.
     static constexpr auto peer_timeout_margin = std::chrono::milliseconds{250};
     // The time for the rest of an answer that has begun. Hosts send a large configuration to all of
     // their followers at once.
@@ -586,6 +587,9 @@
         };
         auto& relays = this->host.view.relays;
         auto const asked = relays.candidates(base::monotonic_clock::now());
+        if (asked.empty()) {
+            return;
+        }
         auto const deadline = base::monotonic_clock::now() + follower_timing::liveness_timeout;
         auto const results = std::make_shared<probe_results>();
         for (auto const& each : asked) {
--- a/linnetlane/router/relay_selector.h
+++ b/linnetlane/router/relay_selector.h
@@ -91,15 +91,14 @@
     // Returns the source to use now. This host reads the registry if all hosts before it in the
     // order have failed.
     [[nodiscard]] auto choose(base::time_point now) -> relay_choice;
-    // Returns the other hosts that `choose` would return one after the other if they failed. This
-    // host itself and those after it in the order are not among them.
+    // Returns the hosts before this one in the order that `choose` may return next.
     [[nodiscard]] auto candidates(base::time_point now) const -> std::vector<host_entry>;
     // Returns the hosts that followers of this host are to follow, in this order.
     [[nodiscard]] auto order_for_followers(base::time_point now) const -> std::vector<host_entry>;
     // Record whether a source provided changes. For the registry, `host` is this host.
     auto note_failure(base::host_id const& host, relay_failure kind, base::time_point now) -> void;
     auto note_success(base::host_id const& host) -> void;
-    // Records that another host follows `host`, and no other one that failed here.
+    // Records that a host answered that it follows `host`. Replaces earlier such answers.
     auto note_followed_elsewhere(base::host_id const& host) -> void;
 
     [[nodiscard]] auto own_entry() const -> host_entry const& { return this->self; }
--- a/linnetlane/routing/version_history.cpp
+++ b/linnetlane/routing/version_history.cpp
@@ -68,10 +68,10 @@
     auto const alone = by_age.size() == 1 || (by_age[0].first < by_age[1].first &&
                                               now < by_age[1].first + stream_lifetime);
     auto const& first = by_age.front().second;
-    auto const began_all =
+    auto const knows_earlier_versions =
         this->has_observed_long_enough(now) ||
         now - found.at(first).running_since >= stream_lifetime + registration_lag;
-    return alone && began_all ? std::optional{first} : std::nullopt;
+    return alone && knows_earlier_versions ? std::optional{first} : std::nullopt;
 }
 
 }  // namespace linnetlane::routing
--- a/linnetlane/routing/version_history_test.cpp
+++ b/linnetlane/routing/version_history_test.cpp
@@ -46,7 +46,7 @@
     auto versions = version_history{};
     versions.note_present({{v1, 1h}}, start);
     auto const rollout = start + 1min;
-    versions.note_present({{v1, 1h}, {v2, 1h}}, rollout);
+    versions.note_present({{v1, 1h}, {v2, 1s}}, rollout);
     BOOST_TEST(versions.is_mixed(rollout));
     BOOST_TEST(!versions.certain_version(rollout).has_value());
     BOOST_TEST((versions.version_without_record(rollout + 5s) == v1));
@@ -57,9 +57,9 @@
 BOOST_AUTO_TEST_CASE(a_version_that_has_left_counts_as_long_as_its_streams_can_be_resumed) {
     auto versions = version_history{};
     versions.note_present({{v1, 1h}}, start);
-    versions.note_present({{v1, 1h}, {v2, 1h}}, start + 1min);
+    versions.note_present({{v1, 1h}, {v2, 1s}}, start + 1min);
     auto const left = start + 2min;
-    versions.note_present({{v2, 1h}}, left);
+    versions.note_present({{v2, 1min}}, left);
     BOOST_TEST(versions.is_mixed(left + stream_lifetime - 1s));
     BOOST_TEST(!versions.version_without_record(left + 1s).has_value());
     BOOST_TEST(!versions.is_mixed(left + stream_lifetime));
@@ -70,7 +70,7 @@
     auto versions = version_history{};
     versions.note_present({{v1, 1h}, {v2, 1h}}, start);
     BOOST_TEST(!versions.version_without_record(start + 1s).has_value());
-    versions.note_present({{v1, 1h}, {v2, 1h}, {v3, 1h}}, start + 2s);
+    versions.note_present({{v1, 1h}, {v2, 1h}, {v3, 1s}}, start + 2s);
     BOOST_TEST(!versions.version_without_record(start + 3s).has_value());
 }
 
--- a/linnetlane/runtime/http.h
+++ b/linnetlane/runtime/http.h
@@ -73,7 +73,7 @@
     [[nodiscard]] auto status() const -> int;
     [[nodiscard]] auto fields() const -> http_fields const&;
     // Returns whether the connection has carried an earlier request, so that what is received may
-    // be left of its answer.
+    // belong to that. False at the end of the body.
     [[nodiscard]] auto reuses_connection() const -> bool;
     // The next bytes of the body; empty at its end.
     [[nodiscard]] auto read_some(base::time_point deadline)
--- a/linnetlane/runtime/http_client.cpp
+++ b/linnetlane/runtime/http_client.cpp
@@ -212,7 +212,6 @@
 struct http_stream::state {
     base::endpoint to;
     connection_pointer used;
-    bool reuses_connection = false;
     std::shared_ptr<outgoing> sending;
     // The response to a HEAD request has none.
     bool has_body = true;
@@ -311,7 +310,7 @@
 }
 
 auto http_stream::reuses_connection() const -> bool {
-    return this->opened->reuses_connection;
+    return this->opened->used != nullptr && this->opened->used->reused;
 }
 
 auto http_stream::read_some(base::time_point deadline) -> base::result<std::string, http_failure> {
@@ -409,7 +408,6 @@
     auto state = std::make_unique<http_stream::state>();
     state->to = to;
     state->used = base::take_value(std::move(taken));
-    state->reuses_connection = state->used->reused;
     hook([used = state->used] { used->stream.close(); });
     state->used->stream.expires_at(deadline);
     state->sending = std::make_shared<outgoing>(outgoing{state->used, to_message(to, request)});
