Follower: a wait without an answer is no loss of the registry

Cause: when the store forgets its history, its waits are silent for 1.2 s. Waits of 2 s end within that time, and one that gets no answer counted as the loss of the registry: the next host took over, with a first wait of 20 ms that was lost as well, and so on. Waits of 15 s seldom ended then.

Change: a wait for upstreams that times out is repeated from its position, and one for the configuration leaves the feed valid until the full read. A registry that answers nothing is noticed by the renewals of the lease, which interrupt the waits, as before.

--- a/linnetlane/router/registry_follower.h
+++ b/linnetlane/router/registry_follower.h
@@ -170,12 +170,18 @@
                 // Only a configuration that the read returns counts.
                 this->shows_in_force = false;
             }
-            auto const reading =
-                position ? this->registry.await_configuration(
-                               *position, wait, now + wait + follower_timing::timeout_margin)
-                         : this->registry.read_configuration(now + follower_timing::read_timeout);
+            auto const deadline = now + (position ? wait + follower_timing::timeout_margin
+                                                  : base::duration{follower_timing::read_timeout});
+            auto const reading = position
+                                     ? this->registry.await_configuration(*position, wait, deadline)
+                                     : this->registry.read_configuration(deadline);
             auto const* const failure = base::failure_of(reading);
-            this->host.view.feed.set_reads_configuration(failure == nullptr);
+            auto const wait_timed_out =
+                failure != nullptr && position && base::monotonic_clock::now() >= deadline;
+            if (!wait_timed_out) {
+                // Otherwise only this answer may be lost, and the full read that follows decides.
+                this->host.view.feed.set_reads_configuration(failure == nullptr);
+            }
             if (failure != nullptr) {
                 this->after_failure(*failure, position.has_value());
                 position.reset();
@@ -375,15 +381,20 @@
     }
 
     // Waits for changes and applies them. Returns the new position, or nothing if a full listing is
-    // needed. After a failure the position stays valid, here and at other hosts.
+    // needed. After a loss of the registry the position stays valid, here and at other hosts.
     auto follow_registry(registry_position position, bool turns_reader)
         -> std::optional<registry_position> {
         auto const asked_at = base::monotonic_clock::now();
         auto const wait = turns_reader ? base::duration{follower_timing::first_wait}
                                        : change_wait(this->host.settings.changes);
-        auto const changes = this->registry.await_upstreams(
-            position, wait, asked_at + wait + follower_timing::timeout_margin);
+        auto const deadline = asked_at + wait + follower_timing::timeout_margin;
+        auto const changes = this->registry.await_upstreams(position, wait, deadline);
         if (auto const* const failure = base::failure_of(changes)) {
+            if (base::monotonic_clock::now() >= deadline) {
+                // Only this answer may be lost. If the registry doesn't answer other calls either,
+                // `host_membership` interrupts the next wait.
+                return position;
+            }
             this->host.view.feed.invalidate();
             if (*failure == registry_failure::history_lost) {
                 return std::nullopt;
