Feed: a question outlasts a moment without the registry

A question that had waited for more than 300 ms was refused at the first moment at which the feed wasn't valid, such as a few milliseconds between two reads of the configuration, and the follower turned to another host. The time for a takeover now runs from that moment and not from the arrival of the question. a_question_outlasts_a_moment_without_the_registry fails before. The class is that of a lost answer: a moment's doubt that counts as a loss.

--- a/linnetlane/router/peers_test.cpp
+++ b/linnetlane/router/peers_test.cpp
@@ -13,6 +13,8 @@
 #include <vector>
 
 #include <rapidcheck.h>
+#include <boost/fiber/fiber.hpp>
+#include <boost/fiber/operations.hpp>
 #include <boost/test/unit_test.hpp>
 
 #include "linnetlane/protocol/compact_bytes.h"
@@ -287,6 +289,25 @@
     BOOST_TEST(!answered_at_once(std::nullopt));
 }
 
+// A question that had waited for longer than the time for a takeover failed at once.
+BOOST_AUTO_TEST_CASE(a_question_outlasts_a_moment_without_the_registry) {
+    auto feed = registry_feed{};
+    feed.set_reads_configuration(true);
+    feed.restart(registry_position{10});
+    feed.extend_validity(base::time_point::max());
+    auto interruption = boost::fibers::fiber{[&] {
+        boost::this_fiber::sleep_for(registry_feed::takeover_time + std::chrono::milliseconds{50});
+        feed.set_reads_configuration(false);
+        boost::this_fiber::sleep_for(std::chrono::milliseconds{20});
+        feed.set_reads_configuration(true);
+    }};
+    auto const deadline = base::monotonic_clock::now() + 2 * registry_feed::takeover_time;
+    auto const answer = feed.await(ask_after({10}), deadline);
+    interruption.join();
+    BOOST_TEST(base::succeeded(answer));
+    BOOST_TEST((base::monotonic_clock::now() >= deadline));
+}
+
 BOOST_AUTO_TEST_CASE(a_following_host_has_the_same_upstreams) {
     BOOST_TEST(rc::check([] {
         auto feed = registry_feed{};
--- a/linnetlane/router/registry_feed.cpp
+++ b/linnetlane/router/registry_feed.cpp
@@ -70,17 +70,20 @@
 
 auto registry_feed::await(changes_question const& question, base::time_point deadline)
     -> changes_answer {
-    auto const valid_by = std::min(deadline, base::monotonic_clock::now() + takeover_time);
+    // Set while the feed isn't valid.
+    auto valid_by = std::optional<base::time_point>{};
     auto lock = std::unique_lock{this->mutex};
     for (;;) {
         auto const now = base::monotonic_clock::now();
         if (!this->is_valid(now)) {
-            if (this->lost_registry || now >= valid_by) {
+            valid_by = valid_by.value_or(std::min(deadline, now + takeover_time));
+            if (this->lost_registry || now >= *valid_by) {
                 return registry_failure::unavailable;
             }
-            this->changed.wait_until(lock, valid_by);
+            this->changed.wait_until(lock, *valid_by);
             continue;
         }
+        valid_by.reset();
         auto newer = this->configuration_newer_than(question.configuration);
         if (question.complete) {
             return registry_update{{{}, {}, this->newest}, std::move(newer)};
--- a/linnetlane/router/registry_feed.h
+++ b/linnetlane/router/registry_feed.h
@@ -38,7 +38,8 @@
     static constexpr auto max_history = std::size_t{512};
     // How long a host counts as a follower after its last request.
     static constexpr auto follower_window = std::chrono::seconds{3};
-    // How long a question waits for this host to read the registry.
+    // How long a question waits for this host to read the registry, from the moment at which it
+    // doesn't.
     static constexpr auto takeover_time = std::chrono::milliseconds{300};
 
     // Starts over after a full listing at position `at`. Changes before it are not known.
