Streams: log and count where the version of a resumed stream was found

Change: one line for each request that resumes a stream, with the version and its source, and the counter linnetlane_resumed_streams_total.

--- a/linnetlane/router/router_metrics.cpp
+++ b/linnetlane/router/router_metrics.cpp
@@ -57,6 +57,22 @@
     return "none";
 }
 
+auto to_string(origin_source source) -> char const* {
+    switch (source) {
+        case origin_source::memory:
+            return "memory";
+        case origin_source::record:
+            return "record";
+        case origin_source::sole_version:
+            return "sole_version";
+        case origin_source::no_record:
+            return "no_record";
+        case origin_source::registry_unavailable:
+            break;
+    }
+    return "registry_unavailable";
+}
+
 auto to_string(request_kind kind) -> char const* {
     return kind == request_kind::plain ? "plain" : "generation";
 }
@@ -126,6 +142,9 @@
       forwarded{&counters(*this->registry, "linnetlane_forwarded_requests_total",
                           "Requests that reached no upstream from this host, and whether another "
                           "host took them.")},
+      origins{&counters(*this->registry, "linnetlane_resumed_streams_total",
+                        "Requests that resume a stream, by where its software version was looked "
+                        "for and whether it was found.")},
       prefill_tokens{&counters(*this->registry, "linnetlane_prefill_tokens_total",
                                "Prompt tokens that prefill engines read.")
                           .Add({})},
@@ -194,6 +213,11 @@
     this->wasted_prefill_tokens->Increment(static_cast<double>(tokens.value));
 }
 
+auto router_metrics::count_origin(origin_source source, bool known) -> void {
+    this->origins->Add({{"source", to_string(source)}, {"known", known ? "true" : "false"}})
+        .Increment();
+}
+
 auto router_metrics::observe_first_event(base::duration took) -> void {
     this->first_event_seconds->Observe(base::to_seconds(took));
 }
--- a/linnetlane/router/router_metrics.h
+++ b/linnetlane/router/router_metrics.h
@@ -38,10 +38,24 @@
     none,
 };
 
+// Where the software version of a resumed stream was looked for last.
+enum class origin_source {
+    // This host's memory.
+    memory,
+    // Its record in the registry.
+    record,
+    // The versions that this host has known, without the record.
+    sole_version,
+    // There is no record; the versions that this host has known decide.
+    no_record,
+    registry_unavailable,
+};
+
 [[nodiscard]] auto to_string(request_kind kind) -> char const*;
 [[nodiscard]] auto to_string(request_outcome outcome) -> char const*;
 [[nodiscard]] auto to_string(refusal_reason reason) -> char const*;
 [[nodiscard]] auto to_string(quota_outcome outcome) -> char const*;
+[[nodiscard]] auto to_string(origin_source source) -> char const*;
 
 // Thread-safe.
 class router_metrics {
@@ -63,6 +77,8 @@
     auto count_wasted_prefill(base::token_count tokens) -> void;
     // Counts a request that reached no upstream from this host, and whether another host took it.
     auto count_forwarded(bool taken) -> void;
+    // Counts a request that resumes a stream, and whether the version of the stream was found.
+    auto count_origin(origin_source source, bool known) -> void;
     auto observe_first_event(base::duration took) -> void;
     // Notes the pace that an upstream reported, as in `routing::load_report`.
     auto observe_pace(double pace) -> void;
@@ -98,6 +114,7 @@
     prometheus::Family<prometheus::Counter>* retries;
     prometheus::Family<prometheus::Counter>* reservations;
     prometheus::Family<prometheus::Counter>* forwarded;
+    prometheus::Family<prometheus::Counter>* origins;
     prometheus::Counter* prefill_tokens;
     prometheus::Counter* wasted_prefill_tokens;
     prometheus::Histogram* first_event_seconds;
--- a/linnetlane/router/stream_origin_recorder.h
+++ b/linnetlane/router/stream_origin_recorder.h
@@ -51,36 +51,70 @@
     // is not known. Suspends the calling fiber.
     auto find(caller_request const& request, base::service_id const& service)
         -> std::optional<base::software_version> {
+        auto const found = this->search(request, service);
+        auto const known = found.software.has_value();
+        this->host.metrics.count_origin(found.source, known);
+        this->host.log.write(
+            telemetry::log_level::info, "origin of a resumed stream",
+            {request.id,
+             service,
+             telemetry::field::named("resumes",
+                                     request.resumed_request.value_or(base::caller_request_id{})),
+             telemetry::field::named("software", found.software.value_or(base::software_version{})),
+             {"known", known},
+             {"source", describe(found.source)}});
+        return found.software;
+    }
+
+private:
+    struct finding {
+        std::optional<base::software_version> software;
+        origin_source source;
+    };
+
+    auto search(caller_request const& request, base::service_id const& service) -> finding {
         auto const& versions = this->host.view.service(service).versions;
         auto known = request.resumed_request
                          ? this->host.view.origins.find(*request.resumed_request)
                          : std::nullopt;
         if (known) {
-            return known;
+            return {known, origin_source::memory};
         }
         if (auto certain = versions.certain_version(base::monotonic_clock::now())) {
-            return certain;
+            return {certain, origin_source::sole_version};
         }
         if (!request.resumed_request ||
             request.resumed_request->value.size() > stream_origins::max_id_bytes) {
-            return std::nullopt;
+            return {std::nullopt, origin_source::sole_version};
         }
         auto const found = this->registry.find_stream(
             *request.resumed_request, base::monotonic_clock::now() + lookup_timeout);
         if (base::failure_of(found) != nullptr) {
-            this->log(request, "no answer from the registry");
-            return std::nullopt;
+            return {std::nullopt, origin_source::registry_unavailable};
         }
         if (auto const& recorded = base::value_of(found)) {
-            return recorded;
+            return {recorded, origin_source::record};
         }
-        auto inferred = versions.version_without_record(base::monotonic_clock::now());
-        this->log(request, inferred ? telemetry::literal{"no record, but one version only"}
-                                    : telemetry::literal{"no record"});
-        return inferred;
+        return {versions.version_without_record(base::monotonic_clock::now()),
+                origin_source::no_record};
+    }
+
+    static auto describe(origin_source source) -> telemetry::literal {
+        switch (source) {
+            case origin_source::memory:
+                return "this host";
+            case origin_source::record:
+                return "record";
+            case origin_source::sole_version:
+                return "one version only";
+            case origin_source::no_record:
+                return "no record";
+            case origin_source::registry_unavailable:
+                break;
+        }
+        return "no answer from the registry";
     }
 
-private:
     [[nodiscard]] auto write_interval() const -> base::duration {
         auto const hosts = static_cast<std::int64_t>(this->host.view.hosts);
         return std::min<base::duration>(max_write_interval,
@@ -125,13 +159,6 @@
         return true;
     }
 
-    auto log(caller_request const& request, telemetry::literal what) const -> void {
-        this->host.log.write(telemetry::log_level::info, "origin of a resumed stream not found",
-                             {request.id,
-                              telemetry::field::named("resumes", *request.resumed_request),
-                              {"what", what}});
-    }
-
     Registry& registry;
     host_context const& host;
     std::optional<registry_lease> lease;
