Streams: a request is bound to one version, and the binding is always recorded

Cause: the version of a resumed stream followed from what the resuming host had been told. `certain_version` answered from a view of any age without asking for a record; `version_without_record` took a missing record as a sign that the stream was older than the release, though its host may have been lost, or may not have known of the release, before it wrote one; and the version belonged to an attempt, so that a later attempt, another host or a late write could leave a record of a version that the stream didn't have. The class of fault: a conclusion from the absence of news.

Ruled out: a bound on the age of the view.

Change: the host that receives a request for a resumable stream binds it to the version of the first upstream that is chosen, and records that in the registry at once, whatever versions it knows. All attempts, at this host or at one to which the request is forwarded, are made at that version, so that a record is right whenever it is written. A host that resumes a stream uses its memory, the record, or, if the registry shows that it knows all changes, the only version that there was; without an answer of the registry it asks other hosts, and a host that reaches neither concludes nothing. Ids that aren't plain ASCII aren't recorded; one of them made the write of a whole batch fail.

--- a/linnetlane/protocol/router.thrift
+++ b/linnetlane/protocol/router.thrift
@@ -178,6 +178,8 @@
     11: optional fact_mark facts_at,
     // The time since the sender's configuration was known to be the newest one.
     12: optional i64 configuration_age,
+    // Some hosts of other data centres that read the registry.
+    13: optional list<host> distant_readers,
 }
 
 struct header_field {
@@ -200,6 +202,19 @@
     // The version of the sender's configuration. A receiver with an older one doesn't take the
     // request. Older senders don't state it.
     7: optional i64 configuration_version,
+    // The software version that the upstream must have which runs the request.
+    8: optional string software_version,
+}
+
+// Asks for the software version that began the stream which answers a request.
+struct origin_question {
+    1: string request,
+    2: string service_name,
+}
+
+struct origin_answer {
+    // Left out if the receiver doesn't know it.
+    1: optional string software_version,
 }
 
 // Requests a part of a client account's quota from the host that keeps it for the sender, or gives
--- a/linnetlane/router/generation_forwarder.h
+++ b/linnetlane/router/generation_forwarder.h
@@ -106,7 +106,14 @@
         if (!reserved) {
             return this->reservation_failure;
         }
-        this->note_origin(reserved->engine);
+        if (auto const bound = this->context.bind_version(reserved->engine.software)) {
+            this->required = bound;
+            if (*bound != reserved->engine.software) {
+                // The request has been bound meanwhile.
+                this->release(*reserved);
+                return attempt_result::retry;
+            }
+        }
         auto& pool = this->context.state().generation;
         pool.begin(reserved->engine.id, this->reserved_tokens());
         auto const result = this->prefill_and_decode(*reserved);
@@ -114,13 +121,9 @@
         return result;
     }
 
-    // Also of a request that resumes a stream, since callers may name it when they resume again.
-    auto note_origin(routing::upstream_record const& engine) -> void {
-        if (this->context.route.resumable && !this->relay.started()) {
-            this->context.host.view.note_stream(this->context.service,
-                                                {this->context.caller.id, engine.software},
-                                                base::monotonic_clock::now());
-        }
+    // Returns whether the caller has received a part of the stream.
+    [[nodiscard]] auto is_in_progress() const -> bool {
+        return this->context.resumes || this->relay.started();
     }
 
     auto prefill_and_decode(decode_reservation const& reserved) -> attempt_result {
@@ -196,7 +199,7 @@
     auto rank_request() -> void {
         auto& view = this->context.host.view;
         auto const& route = this->context.route;
-        if (this->required || !this->context.host.settings.generation.ranked ||
+        if (this->context.resumes || !this->context.host.settings.generation.ranked ||
             !view.ranks_requests(this->context.service)) {
             return;
         }
@@ -314,7 +317,7 @@
     // Returns whether this host may start a prefill while the engines are overloaded. A stream that
     // has begun is always continued.
     auto prefill_is_admitted() -> bool {
-        if (this->required) {
+        if (this->is_in_progress()) {
             return true;
         }
         auto const now = base::monotonic_clock::now();
@@ -790,7 +793,8 @@
     std::optional<routing::request_rank> rank;
     // Until when room is scarce for requests that rank before this one; not set if it isn't.
     std::optional<base::time_point> outranked_until;
-    // The software version that began the stream, if it has begun. It may go on only there.
+    // The software version of the engines that the request may be sent to; nothing if it may be
+    // any.
     std::optional<base::software_version> required;
     std::size_t engines_asked = 0;
     std::size_t prefills = 0;
--- a/linnetlane/router/host.h
+++ b/linnetlane/router/host.h
@@ -26,6 +26,7 @@
 #include "linnetlane/router/registry_follower.h"
 #include "linnetlane/router/request_context.h"
 #include "linnetlane/router/request_digest.h"
+#include "linnetlane/router/stream_origin_finder.h"
 #include "linnetlane/router/stream_origin_recorder.h"
 #include "linnetlane/runtime/worker_pool.h"
 
@@ -63,6 +64,7 @@
                     [this](auto const& offered) { this->configurations.offer(offered); }},
           membership{this->registry, this->host},
           recorder{this->registry, this->host},
+          origins{this->registry, this->host},
           publisher{this->host},
           quotas{this->host},
           activity{this->metrics},
@@ -150,6 +152,7 @@
             response.status = this->view.ready() && !this->leaving ? 200 : 503;
         } else if (request.method == "GET" && request.target == "/metrics") {
             response.fields.add("Content-Type", "text/plain; version=0.0.4");
+            this->metrics.set_unrecorded_streams(this->view.origins.unrecorded_count());
             this->metrics.set_configuration_age(this->view.freshness.age(base::boot_clock::now()));
             response.body = this->metrics.scrape();
         } else if (request.method == "GET" && request.target == "/accounts") {
@@ -172,6 +175,8 @@
             this->receive_facts(request, responder);
         } else if (request.target == quota_target) {
             this->serve_quota(request, responder);
+        } else if (request.target == origins_target) {
+            this->serve_origin(request, responder);
         } else {
             this->serve_follower(request, responder);
         }
@@ -190,6 +195,7 @@
         auto caller = Wire::read_caller_request(forwarded->request);
         caller.timeout = forwarded->time_left;
         caller.key = forwarded->key;
+        caller.bound_to = forwarded->software;
         if (forwarded->configuration && this->is_behind(*forwarded->configuration)) {
             this->refuse_unrouted(caller, responder, refusal_reason::older_configuration,
                                   base::monotonic_clock::now(), true);
@@ -222,6 +228,21 @@
         static_cast<void>(responder.send(response));
     }
 
+    auto serve_origin(runtime::http_request const& request, runtime::http_responder& responder)
+        -> void {
+        auto const question = decode_origin_question(request.body);
+        auto response = runtime::http_response{};
+        if (!question) {
+            this->log.write(telemetry::log_level::warning,
+                            "malformed question for the origin of a stream from a host", {});
+            response.status = 400;
+        } else {
+            response.body = encode_origin(this->origins.find_for_host(*question));
+        }
+        // If the peer has disconnected, it has another answer.
+        static_cast<void>(responder.send(response));
+    }
+
     auto receive_facts(runtime::http_request const& request, runtime::http_responder& responder)
         -> void {
         auto const facts = decode_fact_report(request.body);
@@ -291,6 +312,8 @@
         }
         update.hosts = this->view.known_hosts();
         update.relays = std::move(relays);
+        constexpr auto most_distant_readers = std::size_t{4};
+        update.distant_readers = this->view.some_distant_readers(most_distant_readers);
         update.configuration_age = this->view.freshness.age(base::boot_clock::now());
         return update;
     }
@@ -328,16 +351,27 @@
         auto const allowed = std::min(route->timeout, caller.timeout.value_or(route->timeout));
         auto cancelled = cancellation{};
         responder.on_client_disconnect([&] { cancelled.cancel(); });
-        auto context = request_context{
-            this->host, responder,
-            caller,     configuration,
-            *route,     *service,
-            arrived,    arrived + allowed,
-            cancelled,  {},
-            from_peer,  routing::subjects_of(*service, caller.shared_parts, digest_of(caller))};
         auto const resumes = route->resumable && caller.resumes;
-        if (resumes) {
-            context.required = this->recorder.find(caller, *service);
+        auto context =
+            request_context{this->host,
+                            responder,
+                            caller,
+                            configuration,
+                            *route,
+                            *service,
+                            arrived,
+                            arrived + allowed,
+                            cancelled,
+                            caller.bound_to,
+                            resumes,
+                            from_peer,
+                            routing::subjects_of(*service, caller.shared_parts, digest_of(caller))};
+        if (!context.required && route->resumable) {
+            // Of an earlier attempt under the same id.
+            context.required = this->view.origins.find(caller.id);
+        }
+        if (!context.required && resumes) {
+            context.required = this->origins.find(caller, *service);
         }
         if (resumes && !context.required) {
             this->refuse_unknown_origin(context);
@@ -523,6 +557,7 @@
     upstream_follower<Registry> upstreams;
     host_membership<Registry, Wire> membership;
     stream_origin_recorder<Registry> recorder;
+    stream_origin_finder<Registry> origins;
     fact_publisher publisher;
     quota_service quotas;
     account_activity activity;
--- a/linnetlane/router/messages.h
+++ b/linnetlane/router/messages.h
@@ -42,6 +42,8 @@
     // request that the stream's first event answered, if it is stated.
     bool resumes = false;
     std::optional<base::caller_request_id> resumed_request;
+    // The software version that the host which sent the request on has bound it to.
+    std::optional<base::software_version> bound_to;
     // Set for prompts that state their size.
     std::optional<routing::generation_size> size;
     // The parts of the prompt that other requests may share, in order; empty if there are none.
@@ -261,7 +263,7 @@
     }
 };
 
-// The software version of the upstream that began the stream which answers a request.
+// The software version of the upstreams that may begin the stream which answers a request.
 struct stream_origin {
     base::caller_request_id request;
     base::software_version software;
@@ -328,6 +330,11 @@
     {
         registry.await_upstreams(position, wait, deadline)
         } -> std::same_as<base::result<upstream_changes, registry_failure>>;
+    // Returns the changes after `position` that there are at the time of the call, without waiting
+    // for others. `interrupt_waits` doesn't end the call.
+    {
+        registry.read_changes(position, deadline)
+        } -> std::same_as<base::result<upstream_changes, registry_failure>>;
     // Returns the newest era that an answer stated. Answers of older eras count as `unavailable`.
     // After a change of the era, positions return `history_lost` and leases return `lease_ended`.
     { registry.era() } -> std::same_as<registry_era>;
@@ -348,7 +355,7 @@
     {
         registry.grant_lease(wait, deadline)
         } -> std::same_as<base::result<granted_lease, registry_failure>>;
-    // Records the versions of streams until the lease ends, in place of earlier records.
+    // Records the versions of streams until the lease ends.
     {
         registry.record_streams(streams, lease, deadline)
         } -> std::same_as<base::result<base::nothing, registry_failure>>;
--- a/linnetlane/router/peer_codec.cpp
+++ b/linnetlane/router/peer_codec.cpp
@@ -212,6 +212,13 @@
         relays.push_back(to_wire(host));
     }
     out.__set_relays(relays);
+    if (!update.distant_readers.empty()) {
+        auto readers = std::vector<peer_wire::host>{};
+        for (auto const& host : update.distant_readers) {
+            readers.push_back(to_wire(host));
+        }
+        out.__set_distant_readers(readers);
+    }
     if (!update.facts.empty()) {
         out.__set_facts(to_wire(update.facts));
     }
@@ -417,6 +424,9 @@
     if (forwarded.configuration) {
         out.__set_configuration_version(static_cast<std::int64_t>(forwarded.configuration->value));
     }
+    if (forwarded.software) {
+        out.__set_software_version(forwarded.software->value);
+    }
     auto const target = forwarded.key ? keyed_forward_target : forward_target;
     return runtime::http_request{"POST", std::string{target}, {}, protocol::write_compact(out)};
 }
@@ -453,6 +463,9 @@
         decoded.configuration =
             routing::configuration_version{static_cast<std::uint64_t>(in->configuration_version)};
     }
+    if (in->__isset.software_version) {
+        decoded.software = base::software_version{std::move(in->software_version)};
+    }
     return decoded;
 }
 
@@ -500,6 +513,38 @@
     return quota_answer{in->granted, span(in->wait)};
 }
 
+auto make_origin_request(origin_question const& question) -> runtime::http_request {
+    auto out = peer_wire::origin_question{};
+    out.__set_request(question.request.value);
+    out.__set_service_name(question.service.value);
+    return runtime::http_request{
+        "POST", std::string{origins_target}, {}, protocol::write_compact(out)};
+}
+
+auto decode_origin_question(std::string_view text) -> std::optional<origin_question> {
+    auto in = read<peer_wire::origin_question>(text);
+    if (!in) {
+        return std::nullopt;
+    }
+    return origin_question{base::caller_request_id{std::move(in->request)},
+                           base::service_id{std::move(in->service_name)}};
+}
+
+auto encode_origin(std::optional<base::software_version> const& software) -> std::string {
+    auto out = peer_wire::origin_answer{};
+    if (software) {
+        out.__set_software_version(software->value);
+    }
+    return protocol::write_compact(out);
+}
+
+auto decode_origin(std::string_view text) -> std::optional<base::software_version> {
+    auto in = read<peer_wire::origin_answer>(text);
+    return in && in->__isset.software_version
+               ? std::optional{base::software_version{std::move(in->software_version)}}
+               : std::nullopt;
+}
+
 auto encode(changes_question const& question) -> std::string {
     auto out = peer_wire::changes_question{};
     out.__set_after(static_cast<std::int64_t>(question.after.value));
@@ -584,6 +629,11 @@
             update.relays.push_back(std::move(*entry));
         }
     }
+    for (auto& host : in->distant_readers) {
+        if (auto entry = from_wire(std::move(host))) {
+            update.distant_readers.push_back(std::move(*entry));
+        }
+    }
     update.facts = from_wire(std::move(in->facts));
     if (in->__isset.facts_at) {
         update.facts_at = from_wire(in->facts_at);
--- a/linnetlane/router/peer_codec.h
+++ b/linnetlane/router/peer_codec.h
@@ -82,6 +82,8 @@
     std::optional<fact_mark> facts_at = std::nullopt;
     // The time since the answering host's configuration was known to be the newest one, if it was.
     std::optional<base::duration> configuration_age = std::nullopt;
+    // Some hosts of other data centres that read the registry. Their entries state no data centre.
+    std::vector<host_entry> distant_readers = {};
 };
 
 using changes_answer = base::result<registry_update, registry_failure>;
@@ -96,6 +98,17 @@
     std::optional<base::key_digest> key = std::nullopt;
     // The version of the configuration in force at the sender. Older hosts don't state it.
     std::optional<routing::configuration_version> configuration = std::nullopt;
+    // The version that the upstream which runs the request must have; nothing if it may be any.
+    std::optional<base::software_version> software = std::nullopt;
+};
+
+// Asks another host for the software version that began the stream which answers a request.
+struct origin_question {
+    // Empty if the caller didn't name the request.
+    base::caller_request_id request;
+    base::service_id service;
+
+    friend auto operator==(origin_question const&, origin_question const&) -> bool = default;
 };
 
 // Requests a part of an account's quota from the host that keeps it for the sender.
@@ -125,6 +138,7 @@
 inline constexpr auto keyed_forward_target = std::string_view{"/forwarded-account-requests"};
 inline constexpr auto quota_target = std::string_view{"/account-quotas"};
 inline constexpr auto facts_target = std::string_view{"/facts"};
+inline constexpr auto origins_target = std::string_view{"/stream-origins"};
 
 [[nodiscard]] auto make_changes_request(changes_question const& question) -> runtime::http_request;
 [[nodiscard]] auto make_forward_request(forwarded_request const& forwarded)
@@ -149,6 +163,15 @@
 // Returns nothing if `text` is malformed.
 [[nodiscard]] auto decode_quota_answer(std::string_view text) -> std::optional<quota_answer>;
 
+[[nodiscard]] auto make_origin_request(origin_question const& question) -> runtime::http_request;
+// Returns nothing if `text` is malformed.
+[[nodiscard]] auto decode_origin_question(std::string_view text) -> std::optional<origin_question>;
+// The answer holds the version, or nothing if the host doesn't know it.
+[[nodiscard]] auto encode_origin(std::optional<base::software_version> const& software)
+    -> std::string;
+// Returns nothing if the host doesn't know the version or `text` is malformed.
+[[nodiscard]] auto decode_origin(std::string_view text) -> std::optional<base::software_version>;
+
 [[nodiscard]] auto encode(changes_question const& question) -> std::string;
 [[nodiscard]] auto encode(changes_answer const& answer) -> std::string;
 
--- a/linnetlane/router/peer_forwarder.h
+++ b/linnetlane/router/peer_forwarder.h
@@ -30,6 +30,7 @@
     // request, so that it has not run; the caller has not been answered then.
     auto run() -> std::optional<request_result> {
         auto& directory = this->context.host.view.peers;
+        this->bound = this->bind_version();
         while (this->tried.size() < max_peers) {
             auto const now = base::monotonic_clock::now();
             auto const peer = directory.pick(this->tried, this->context.host.view.draw(), now);
@@ -49,14 +50,28 @@
     }
 
 private:
+    // Binds the request here, so that this host and all that it is sent to agree on the version. If
+    // this host knows no upstream, the other host binds it.
+    auto bind_version() -> std::optional<base::software_version> {
+        if (this->context.required) {
+            return this->context.bind_version(*this->context.required);
+        }
+        auto& view = this->context.host.view;
+        auto const software =
+            view.draw_version(this->context.service, this->context.caller.size.has_value() &&
+                                                         this->context.route.generates);
+        return software ? this->context.bind_version(*software) : std::nullopt;
+    }
+
     // Returns the result, or nothing if another host may be asked.
     auto attempt(host_entry const& peer) -> std::optional<request_result> {
         auto const time_left = this->context.answer_by - base::monotonic_clock::now();
-        auto result = exchange<Wire>(
-            this->context, *peer.peers,
-            make_forward_request({this->context.caller.forwarded, time_left,
-                                  this->context.caller.key, this->context.configuration->version}),
-            connection_use_for(this->context.route), this->context.answer_by);
+        auto result =
+            exchange<Wire>(this->context, *peer.peers,
+                           make_forward_request(
+                               {this->context.caller.forwarded, time_left, this->context.caller.key,
+                                this->context.configuration->version, this->bound}),
+                           connection_use_for(this->context.route), this->context.answer_by);
         if (auto const* const failure = std::get_if<exchange_failure_kind>(&result)) {
             return this->after_failure(peer, *failure);
         }
@@ -150,6 +165,8 @@
     }
 
     request_context const& context;
+    // The software version of the upstreams that may run the request; nothing if it may be any.
+    std::optional<base::software_version> bound;
     std::set<base::host_id> tried;
     bool may_have_run = false;
 };
--- a/linnetlane/router/peers_test.cpp
+++ b/linnetlane/router/peers_test.cpp
@@ -184,6 +184,7 @@
         update.grace_left = any_span();
         update.hosts = *rc::gen::inRange<std::size_t>(0, 1000);
         update.relays = {relay("h1", 120), relay("h2", 500)};
+        update.distant_readers = {relay("h3", 250)};
         update.facts = any_facts();
         update.facts_at = fact_mark{*rc::gen::inRange<std::uint64_t>(1, 1000), {7}};
         auto const back = decode_answer(encode(changes_answer{update}));
@@ -197,6 +198,7 @@
         RC_ASSERT(base::value_of(back).grace_left == update.grace_left);
         RC_ASSERT(base::value_of(back).hosts == update.hosts);
         RC_ASSERT(base::value_of(back).relays == update.relays);
+        RC_ASSERT(base::value_of(back).distant_readers == update.distant_readers);
         RC_ASSERT(base::value_of(back).facts == update.facts);
         RC_ASSERT(base::value_of(back).facts_at == update.facts_at);
         auto asked = changes_question{{7}, {}, {}};
@@ -515,6 +517,40 @@
     BOOST_TEST(read->configuration.value().value == 41U);
 }
 
+// The other host drew a version of its own, and this host's record named another one.
+BOOST_AUTO_TEST_CASE(a_forwarded_request_states_the_version_that_it_is_bound_to) {
+    auto message = forwarded_request{{"POST", "/p", {}, ""}, std::chrono::seconds{1}};
+    BOOST_TEST(!decode_forwarded(make_forward_request(message).body)->software.has_value());
+    message.software = base::software_version{"v2"};
+    BOOST_TEST(decode_forwarded(make_forward_request(message).body)->software->value == "v2");
+}
+
+BOOST_AUTO_TEST_CASE(questions_for_the_origin_of_a_stream_survive_the_wire) {
+    auto const named = origin_question{base::caller_request_id{"r1"}, base::service_id{"llm"}};
+    auto const unnamed = origin_question{{}, base::service_id{"llm"}};
+    for (auto const& question : {named, unnamed}) {
+        auto const message = make_origin_request(question);
+        BOOST_TEST(message.target == origins_target);
+        BOOST_TEST((decode_origin_question(message.body) == question));
+    }
+    BOOST_TEST(decode_origin(encode_origin(base::software_version{"v1"}))->value == "v1");
+    BOOST_TEST(!decode_origin(encode_origin(std::nullopt)).has_value());
+    BOOST_TEST(!decode_origin_question("").has_value());
+    BOOST_TEST(!decode_origin("").has_value());
+    BOOST_TEST(rc::check([](std::string const& bytes) {
+        static_cast<void>(decode_origin_question(bytes));
+        static_cast<void>(decode_origin(bytes));
+    }));
+}
+
+// A host of an older version takes the question for one about changes.
+BOOST_AUTO_TEST_CASE(what_an_older_host_answers_names_no_version) {
+    auto update = registry_update{};
+    update.upstreams.position.value = 7;
+    BOOST_TEST(!decode_origin(encode(changes_answer{update})).has_value());
+    BOOST_TEST(!decode_origin(encode(changes_answer{registry_failure::unavailable})).has_value());
+}
+
 BOOST_AUTO_TEST_CASE(malformed_forwarded_requests_are_rejected) {
     BOOST_TEST(!decode_forwarded("").has_value());
     BOOST_TEST(!decode_forwarded(make_forward_request({{"", "/", {}, {}}, {}}).body).has_value());
--- a/linnetlane/router/plain_forwarder.h
+++ b/linnetlane/router/plain_forwarder.h
@@ -30,7 +30,7 @@
     static constexpr auto extra_sends = std::size_t{2};
 
     explicit plain_forwarder(request_context const& own_context)
-        : context{own_context}, relay{own_context} {}
+        : context{own_context}, relay{own_context}, required{own_context.required} {}
 
     // Returns after the caller has been answered or has left.
     auto run() -> request_result {
@@ -105,7 +105,7 @@
         }
         auto& view = this->context.host.view;
         auto const id =
-            this->context.state().plain.pick(this->tried, view.draw(), now, this->context.required);
+            this->context.state().plain.pick(this->tried, view.draw(), now, this->required);
         auto const* const record = id ? view.upstreams.find(*id) : nullptr;
         if (record == nullptr) {
             return std::nullopt;
@@ -123,10 +123,13 @@
     auto attempt(routing::upstream_record const& target) -> std::optional<request_result> {
         ++this->sends;
         this->tried.insert(target.id);
-        if (this->context.route.resumable) {
-            this->context.host.view.note_stream(this->context.service,
-                                                {this->context.caller.id, target.software},
-                                                base::monotonic_clock::now());
+        if (auto const bound = this->context.bind_version(target.software)) {
+            this->required = bound;
+            if (*bound != target.software) {
+                // The request has been bound meanwhile.
+                this->last_reason = refusal_reason::no_upstream;
+                return std::nullopt;
+            }
         }
         auto& pool = this->context.state().plain;
         pool.started(target.id);
@@ -331,6 +334,9 @@
 
     request_context const& context;
     stream_relay<Wire> relay;
+    // The software version of the upstreams that the request may be sent to; nothing if it may be
+    // any.
+    std::optional<base::software_version> required;
     std::set<base::upstream_id> tried;
     std::size_t sends = 0;
     // Sends that reached or may have reached an upstream.
--- a/linnetlane/router/registry_follower.h
+++ b/linnetlane/router/registry_follower.h
@@ -362,6 +362,7 @@
     // Applies a full listing. Returns its position, or nothing after a failure.
     auto list() -> std::optional<registry_position> {
         auto& view = this->host.view;
+        auto const asked_at = base::boot_clock::now();
         auto const listing = this->registry.list_upstreams(base::monotonic_clock::now() +
                                                            follower_timing::read_timeout);
         if (auto const* const failure = base::failure_of(listing)) {
@@ -376,6 +377,7 @@
                                  {{"entries", static_cast<std::int64_t>(listed.unreadable)}});
         }
         this->apply_listing(listed.records);
+        view.note_upstreams_current(asked_at);
         view.feed.restart(listed.position);
         return listed.position;
     }
@@ -385,6 +387,7 @@
     auto follow_registry(registry_position position, bool turns_reader)
         -> std::optional<registry_position> {
         auto const asked_at = base::monotonic_clock::now();
+        auto const current_at = base::boot_clock::now();
         auto const wait = turns_reader ? base::duration{follower_timing::first_wait}
                                        : change_wait(this->host.settings.changes);
         auto const deadline = asked_at + wait + follower_timing::timeout_margin;
@@ -404,6 +407,7 @@
         }
         this->note_registry_answered();
         this->apply(base::value_of(changes));
+        this->host.view.note_upstreams_current(current_at);
         this->host.view.feed.publish(base::value_of(changes), change_source::registry);
         if (!turns_reader) {
             runtime::sleep_until(base::monotonic_clock::now() + follower_timing::batch_interval);
@@ -507,6 +511,7 @@
         }
         view.relays.note_success(relay.host);
         this->learn_from(relay, update);
+        view.distant_readers = update.distant_readers;
         if (update.hosts > 0) {
             view.note_hosts(update.hosts, base::monotonic_clock::now());
         }
@@ -514,6 +519,7 @@
         if (update.configuration_age) {
             view.freshness.note_newest(asked_at - *update.configuration_age);
         }
+        view.note_upstreams_current(asked_at);
         view.upstreams.extend_grace(base::monotonic_clock::now(), update.grace_left);
         if (update.complete) {
             this->apply_listing(update.upstreams.put);
--- a/linnetlane/router/relay_selector.h
+++ b/linnetlane/router/relay_selector.h
@@ -85,6 +85,8 @@
     // the last resort, since other hosts regain the registry at the same time. A host outside of
     // the order doesn't use the registry before.
     auto note_registry_regained(base::time_point now) -> void;
+    // Returns the hosts to follow, whether or not they are usable now. They may include this host.
+    [[nodiscard]] auto known_hosts() const -> std::vector<host_entry> const& { return this->order; }
     [[nodiscard]] auto has_order() const -> bool { return !this->order.empty(); }
     // Replaces the order of hosts to follow. It may include this host.
     auto set_order(std::vector<host_entry> hosts) -> void { this->order = std::move(hosts); }
--- a/linnetlane/router/request_context.h
+++ b/linnetlane/router/request_context.h
@@ -103,8 +103,11 @@
     // The deadline of the answer: the earlier of the limits of the caller and the route.
     base::time_point answer_by;
     cancellation& cancelled;
-    // The software version that began the stream which the request resumes, if it resumes one.
+    // The software version of the upstreams that the request may be sent to: the one that began the
+    // stream which it resumes, or that another host has bound it to. Nothing if it may be any.
     std::optional<base::software_version> required;
+    // The caller has received a part of the stream.
+    bool resumes = false;
     // Another host sent the request, so that it is not sent on to a third one.
     bool from_peer = false;
     // What the quarantine knows the request by.
@@ -115,6 +118,17 @@
     [[nodiscard]] auto state() const -> service_state& {
         return this->host.view.service(this->service);
     }
+    // Binds the request to a software version before it is sent to an upstream of it. Returns the
+    // version that all upstreams must have which the request is sent to; nothing if they may
+    // differ, since the caller can't resume the answer.
+    auto bind_version(base::software_version const& software) const
+        -> std::optional<base::software_version> {
+        if (!this->route.resumable) {
+            return std::nullopt;
+        }
+        return this->host.view.origins.bind({this->caller.id, software},
+                                            base::monotonic_clock::now());
+    }
     // Returns whether this host reaches no upstream, or none of the service.
     [[nodiscard]] auto is_isolated(base::time_point now) const -> bool {
         return this->host.view.isolation.is_isolated(now) ||
--- a/linnetlane/router/router_metrics.cpp
+++ b/linnetlane/router/router_metrics.cpp
@@ -63,10 +63,10 @@
             return "memory";
         case origin_source::record:
             return "record";
-        case origin_source::sole_version:
-            return "sole_version";
         case origin_source::no_record:
             return "no_record";
+        case origin_source::other_host:
+            return "other_host";
         case origin_source::registry_unavailable:
             break;
     }
@@ -145,6 +145,8 @@
       origins{&counters(*this->registry, "linnetlane_resumed_streams_total",
                         "Requests that resume a stream, by where its software version was looked "
                         "for and whether it was found.")},
+      unrecorded_streams{&gauge(*this->registry, "linnetlane_unrecorded_streams",
+                                "Streams whose software version is not in the registry yet.")},
       prefill_tokens{&counters(*this->registry, "linnetlane_prefill_tokens_total",
                                "Prompt tokens that prefill engines read.")
                           .Add({})},
@@ -218,6 +220,10 @@
         .Increment();
 }
 
+auto router_metrics::set_unrecorded_streams(std::size_t count) -> void {
+    this->unrecorded_streams->Set(static_cast<double>(count));
+}
+
 auto router_metrics::observe_first_event(base::duration took) -> void {
     this->first_event_seconds->Observe(base::to_seconds(took));
 }
--- a/linnetlane/router/router_metrics.h
+++ b/linnetlane/router/router_metrics.h
@@ -44,10 +44,10 @@
     memory,
     // Its record in the registry.
     record,
-    // The versions that this host has known, without the record.
-    sole_version,
     // There is no record; the versions that this host has known decide.
     no_record,
+    other_host,
+    // Nor did another host know it; the versions that this host has known decide.
     registry_unavailable,
 };
 
@@ -79,6 +79,8 @@
     auto count_forwarded(bool taken) -> void;
     // Counts a request that resumes a stream, and whether the version of the stream was found.
     auto count_origin(origin_source source, bool known) -> void;
+    // Sets the number of streams whose version is not in the registry yet.
+    auto set_unrecorded_streams(std::size_t count) -> void;
     auto observe_first_event(base::duration took) -> void;
     // Notes the pace that an upstream reported, as in `routing::load_report`.
     auto observe_pace(double pace) -> void;
@@ -115,6 +117,7 @@
     prometheus::Family<prometheus::Counter>* reservations;
     prometheus::Family<prometheus::Counter>* forwarded;
     prometheus::Family<prometheus::Counter>* origins;
+    prometheus::Gauge* unrecorded_streams;
     prometheus::Counter* prefill_tokens;
     prometheus::Counter* wasted_prefill_tokens;
     prometheus::Histogram* first_event_seconds;
--- a/linnetlane/router/routing_view.cpp
+++ b/linnetlane/router/routing_view.cpp
@@ -89,9 +89,29 @@
     return is_new;
 }
 
-auto routing_view::note_stream(base::service_id const& id, stream_origin const& origin,
-                               base::time_point now) -> void {
-    this->origins.note(origin, this->service(id).versions.is_mixed(now), now);
+auto routing_view::note_upstreams_current(base::boot_clock::time_point moment) -> void {
+    auto const last = std::exchange(this->upstreams_current_at, moment);
+    if (last && moment - *last > longest_unobserved) {
+        for (auto const& [id, state] : this->services) {
+            state->versions.note_missed_changes(base::monotonic_clock::now());
+        }
+    }
+}
+
+auto routing_view::draw_version(base::service_id const& id, bool generates)
+    -> std::optional<base::software_version> {
+    auto usable = std::vector<routing::upstream_record const*>{};
+    for (auto const& [upstream, record] : this->upstreams.all()) {
+        auto const suits = !generates || record.stage == routing::engine_stage::decode;
+        if (record.service == id && !record.leaving && suits) {
+            usable.push_back(&record);
+        }
+    }
+    if (usable.empty()) {
+        return std::nullopt;
+    }
+    auto const index = static_cast<std::size_t>(this->draw() * static_cast<double>(usable.size()));
+    return usable[std::min(index, usable.size() - 1)]->software;
 }
 
 auto routing_view::learn(std::vector<routing::shared_fact> const& learned, base::time_point now)
@@ -154,6 +174,22 @@
     }
 }
 
+auto routing_view::some_distant_readers(std::size_t most) const -> std::vector<host_entry> {
+    auto found = std::vector<host_entry>{};
+    // A host that has lost the registry goes on with the readers that it listed last.
+    for (auto const* const known : {&this->other_readers, &this->distant_readers}) {
+        for (auto const& each : *known) {
+            auto const is_new =
+                std::ranges::find(found, each.host, &host_entry::host) == found.end();
+            auto const distant = each.data_centre != this->relays.own_entry().data_centre;
+            if (is_new && distant && found.size() < most) {
+                found.push_back(each);
+            }
+        }
+    }
+    return found;
+}
+
 auto routing_view::ranks_requests(base::service_id const& id) -> bool {
     auto const in_force = this->routes.current();
     if (in_force == nullptr) {
--- a/linnetlane/router/routing_view.h
+++ b/linnetlane/router/routing_view.h
@@ -108,10 +108,13 @@
     // Records the number of hosts of all data centres. Within the window of the retry budget, the
     // largest number holds, since hosts that have left may have used their share.
     auto note_hosts(std::size_t count, base::time_point now) -> void;
-    // Records that an upstream of that version was chosen to begin the stream which answers
-    // `request`.
-    auto note_stream(base::service_id const& id, stream_origin const& origin, base::time_point now)
-        -> void;
+    // Records that the upstreams of this view were those of the registry at `moment`. After a long
+    // time without such a record, changes may have been missed.
+    auto note_upstreams_current(base::boot_clock::time_point moment) -> void;
+    // Returns the software version of an upstream that may begin a stream of the service, drawn
+    // from those that don't leave and, if it `generates`, decode; nothing if there is none.
+    [[nodiscard]] auto draw_version(base::service_id const& id, bool generates)
+        -> std::optional<base::software_version>;
     // Records that an upstream said that it leaves. Returns whether that is new.
     auto note_leaving(base::upstream_id const& id) -> bool;
     // Records facts that this host observed or another one told it.
@@ -123,6 +126,8 @@
     [[nodiscard]] auto facts_mark() const -> fact_mark {
         return fact_mark{this->process, this->facts.position()};
     }
+    // Returns at most `most` readers of other data centres.
+    [[nodiscard]] auto some_distant_readers(std::size_t most) const -> std::vector<host_entry>;
     // Returns whether requests of the service are ranked under the configuration in force.
     [[nodiscard]] auto ranks_requests(base::service_id const& id) -> bool;
     // Takes one retry from the service's budget. Returns false if none is left.
@@ -148,6 +153,8 @@
     std::optional<host_entry> source;
     // The other hosts that read the registry, of all data centres.
     std::vector<host_entry> other_readers;
+    // Some readers of other data centres, as the followed host told them last.
+    std::vector<host_entry> distant_readers;
     // What this host and others have observed.
     routing::fact_board facts;
     routing::request_quarantine quarantine;
@@ -163,6 +170,10 @@
             static_cast<std::uint64_t>(settings.processor_share.value * thousandths)};
     }
 
+    // A version that comes and leaves within this time may be missed.
+    static constexpr auto longest_unobserved = std::chrono::seconds{5};
+
+    std::optional<base::boot_clock::time_point> upstreams_current_at;
     // Until this time a smaller number of hosts is ignored.
     base::time_point peak_hosts_until;
     bool hosts_known = false;
--- a/linnetlane/router/stream_origins.cpp
+++ b/linnetlane/router/stream_origins.cpp
@@ -6,20 +6,25 @@
 
 namespace linnetlane::router {
 
-auto stream_origins::note(stream_origin const& origin, bool record, base::time_point now) -> void {
+auto stream_origins::is_recordable(base::caller_request_id const& request) -> bool {
+    auto const& id = request.value;
+    return !id.empty() && id.size() <= max_id_bytes &&
+           std::ranges::all_of(id, [](char one) { return one > ' ' && one < '\x7f'; });
+}
+
+auto stream_origins::bind(stream_origin const& origin, base::time_point now)
+    -> base::software_version {
     this->expire(now);
-    if (origin.request.value.empty() || origin.request.value.size() > max_id_bytes) {
-        return;
+    if (!is_recordable(origin.request)) {
+        return origin.software;
     }
     auto const [place, first] = this->known.try_emplace(origin.request, origin.software);
-    auto const changed = place->second != origin.software;
-    place->second = origin.software;
+    auto const bound = place->second;
     if (first) {
         this->expiries.push_back({origin.request, now + routing::stream_lifetime});
-    }
-    if (record && (first || changed)) {
         this->put_back({origin});
     }
+    return bound;
 }
 
 auto stream_origins::find(base::caller_request_id const& request) const
--- a/linnetlane/router/stream_origins.h
+++ b/linnetlane/router/stream_origins.h
@@ -1,10 +1,10 @@
-// The software versions that began the streams of this host, and the records of them that wait to
-// be written to the registry, so that any host can resume a stream after this one is lost.
+// The software versions that the streams of this host are bound to, and the records of them that
+// wait to be written to the registry, so that any host can resume a stream after this one is lost.
 //
 //   auto origins = stream_origins{};
-//   origins.note({request, version}, record, now);   // when an upstream is chosen
-//   auto const version = origins.find(request);
-//   auto const batch = origins.await_unrecorded(most);   // in the recorder's fiber
+//   auto const version = origins.bind({request, upstream.software}, now);   // before the first
+//   send origins.find(request);                       // that version auto const batch =
+//   origins.await_unrecorded(most);   // in the recorder's fiber
 
 #ifndef LINNETLANE_ROUTER_STREAM_ORIGINS_H_
 #define LINNETLANE_ROUTER_STREAM_ORIGINS_H_
@@ -30,16 +30,22 @@
 public:
     // The number of records that wait at most; older ones are dropped.
     static constexpr auto max_unrecorded = std::size_t{1024};
-    // Longer request ids are not recorded.
     static constexpr auto max_id_bytes = std::size_t{128};
+    // Returns whether streams of the request are recorded: whether its id is neither empty nor
+    // longer than `max_id_bytes` and has visible ASCII characters only, as keys in registries need.
+    [[nodiscard]] static auto is_recordable(base::caller_request_id const& request) -> bool;
 
-    // Records that an upstream of that version was chosen to begin a stream. A later upstream of
-    // the same request replaces it. If `record` is set, other hosts are to know it too.
-    auto note(stream_origin const& origin, bool record, base::time_point now) -> void;
-    // Returns the version that began the stream that answered `request`, if it began at this host.
+    // Binds a request to the version that begins its stream, unless it is bound already, and
+    // returns the version. All upstreams that the request is sent to must have it: a record that
+    // another host reads is then right, whenever it was written.
+    auto bind(stream_origin const& origin, base::time_point now) -> base::software_version;
+    // Returns the version that `request` is bound to, if that was done at this host.
     [[nodiscard]] auto find(base::caller_request_id const& request) const
         -> std::optional<base::software_version>;
 
+    // Returns the number of records that wait to be written.
+    [[nodiscard]] auto unrecorded_count() const -> std::size_t { return this->unrecorded.size(); }
+
     // Waits until there are records to write and takes at most `most` of them, the oldest first.
     // Suspends the calling fiber.
     [[nodiscard]] auto await_unrecorded(std::size_t most) -> std::vector<stream_origin>;
--- a/linnetlane/routing/version_history.h
+++ b/linnetlane/routing/version_history.h
@@ -1,13 +1,16 @@
 // The software versions that the upstreams of a service had lately, to find the version that began
 // a stream.
 //
-// Versions are incompatible: a stream may go on only at the version that began it. Hosts record the
-// version of each stream while there are several. While there is only one, streams need no record.
+// Versions are incompatible: a stream may go on only at the version that began it, which its record
+// states. The history helps if there is no record: while there was one version only, that one began
+// the stream. It knows what this host was told, so a caller makes sure that the host's view is
+// current before it relies on the history.
 //
 //   auto versions = version_history{};
 //   versions.note_present({{v1, 10min}}, now);
+//   versions.version_without_record(now);                    // v1
 //   versions.note_present({{v1, 20min}, {v2, 1s}}, later);   // a rollout begins
-//   versions.is_mixed(later);                 // true: streams are recorded
+//   versions.version_without_record(later);                  // nothing
 
 #ifndef LINNETLANE_ROUTING_VERSION_HISTORY_H_
 #define LINNETLANE_ROUTING_VERSION_HISTORY_H_
@@ -33,23 +36,19 @@
     // upstream of each has run; zero if that isn't known. Call after each change.
     auto note_present(std::map<base::software_version, base::duration> const& present,
                       base::time_point now) -> void;
-    // Returns whether streams of several versions may be resumed now or may begin.
-    [[nodiscard]] auto is_mixed(base::time_point now) const -> bool;
-    // Returns the only version that can have begun a stream that is resumed now, without regard to
-    // records of streams; nothing if there may be several, or if this host hasn't known the
-    // upstreams for long enough.
+    // Records that changes up to now may have been missed: a version may have come and left.
+    auto note_missed_changes(base::time_point now) -> void;
+    // Returns the only version that this host has known for as long as a stream can be resumed;
+    // nothing if there were several, or if it hasn't known the upstreams for that long.
     [[nodiscard]] auto certain_version(base::time_point now) const
         -> std::optional<base::software_version>;
-    // Returns the version of a resumed stream that has no record; nothing if there may be several.
-    // A stream that began before a rollout has no record, since there was one version only. A host
-    // that has just started can't know of a version that left before, unless upstreams of the
-    // present one have run for longer than the stream.
+    // As `certain_version`, and also if upstreams of the only version have run for longer than a
+    // stream can be resumed.
     [[nodiscard]] auto version_without_record(base::time_point now) const
         -> std::optional<base::software_version>;
 
 private:
     struct presence {
-        base::time_point since;
         // When its oldest upstream started.
         base::time_point running_since;
         // The maximum while the version is present.
