Settings: an address with a zero byte is no endpoint

The system's parser of addresses ends at a zero byte, so "10.0.0.1\0\r\nA: b:80" was an endpoint whose text went on with bytes of its writer's choice. The address of an upstream is sent to other upstreams in a field of requests.

Seen before (settings_text_values_test, an_endpoint_is_an_ip_address_and_a_port): "10.0.0.1\0:80" and "[::1\0]:80" were read. Change: such a text is rejected. The test passes.

--- a/linnetlane/settings/text_values.cpp
+++ b/linnetlane/settings/text_values.cpp
@@ -79,6 +79,10 @@
 }
 
 auto parse_address(std::string const& text) -> bool {
+    // `inet_pton` would read only what precedes a zero byte.
+    if (text.find('\0') != std::string::npos) {
+        return false;
+    }
     auto buffer = std::array<unsigned char, sizeof(in6_addr)>{};
     auto const family = text.find(':') == std::string::npos ? AF_INET : AF_INET6;
     return inet_pton(family, text.c_str(), buffer.data()) == 1;
--- a/linnetlane/settings/text_values_test.cpp
+++ b/linnetlane/settings/text_values_test.cpp
@@ -43,6 +43,11 @@
             BOOST_TEST(!parse_endpoint(text).has_value());
         }
     }
+    // The system's parser of addresses ends at a zero byte.
+    using namespace std::string_view_literals;
+    BOOST_TEST(!parse_endpoint("10.0.0.1\0:80"sv).has_value());
+    BOOST_TEST(!parse_endpoint("10.0.0.1\0\r\nA: b:80"sv).has_value());
+    BOOST_TEST(!parse_endpoint("[::1\0]:80"sv).has_value());
 }
 
 BOOST_AUTO_TEST_CASE(a_name_has_no_separators) {
