HTTP client: a request that HTTP can't express fails unsent

Field values of requests come from entries and answers of others: ids of upstreams, of reservations and of prefill results. Beast throws on a value above 65,533 bytes, and the exception left the fiber: the process ended. A value with a line break added a field to the request.

Seen before (runtime_http_test, a_request_that_http_cannot_express_fails_unsent): std::length_error "field value too large". Change: the client checks target and fields before it connects; a request that can't be sent fails as malformed and not sent, so that the request may go elsewhere. Whatever the server parses passes the check.

--- a/linnetlane/runtime/http_client.cpp
+++ b/linnetlane/runtime/http_client.cpp
@@ -172,6 +172,30 @@
     return connect(to, use, deadline);
 }
 
+// Whether HTTP can express the request. Beast throws on longer fields, and writes line breaks as
+// they are.
+auto can_be_sent(http_request const& request) -> bool {
+    constexpr auto max_field_bytes = std::size_t{65'533};
+    constexpr auto del = '\x7f';
+    auto const is_visible = [](char character) {
+        return static_cast<unsigned char>(character) > ' ' && character != del;
+    };
+    auto const is_in_name = [&](char character) {
+        return is_visible(character) && character != ':' &&
+               static_cast<unsigned char>(character) < del;
+    };
+    auto const is_in_value = [&](char character) {
+        return is_visible(character) || character == ' ' || character == '\t';
+    };
+    return std::ranges::all_of(request.target, is_visible) &&
+           std::ranges::all_of(request.fields.entries, [&](auto const& entry) {
+               auto const& [name, value] = entry;
+               return !name.empty() && name.size() <= max_field_bytes &&
+                      value.size() <= max_field_bytes && std::ranges::all_of(name, is_in_name) &&
+                      std::ranges::all_of(value, is_in_value);
+           });
+}
+
 auto to_message(base::endpoint const& to, http_request const& request)
     -> http::request<http::string_body> {
     auto message = http::request<http::string_body>{};
@@ -401,6 +425,9 @@
 auto open_stream(base::endpoint const& to, http_request const& request, connection_use use,
                  base::time_point deadline, cancel_hook const& hook)
     -> base::result<http_stream, http_failure> {
+    if (!can_be_sent(request)) {
+        return http_failure{http_failure_kind::malformed, send_state::not_sent};
+    }
     auto taken = take_connection(to, use, deadline);
     if (auto const* failure = base::failure_of(taken)) {
         return *failure;
--- a/linnetlane/runtime/http_test.cpp
+++ b/linnetlane/runtime/http_test.cpp
@@ -77,6 +77,44 @@
     });
 }
 
+// Field values come from the entries and answers of others. One that was too long ended the
+// process, and one with a line break added a field.
+BOOST_FIXTURE_TEST_CASE(a_request_that_http_cannot_express_fails_unsent, fixture) {
+    auto served = std::atomic<int>{0};
+    auto server = http_server(this->pool, loopback, {}, [&](http_request const&, auto& responder) {
+        ++served;
+        responder.send({});
+    });
+    in_fiber(this->pool, [&] {
+        auto fails = [&](http_request const& request) {
+            auto const fetched = fetch(server.address(), request, connection_use::pooled, soon());
+            auto const* const failure = base::failure_of(fetched);
+            return failure != nullptr && failure->kind == http_failure_kind::malformed &&
+                   failure->send_state == send_state::not_sent;
+        };
+        for (auto const& value : {std::string(65'534, 'v'), std::string{"a\r\nX-More: 1"},
+                                  std::string{"a\n"}, std::string("a\0b", 3)}) {
+            auto request = http_request{"GET", "/", {}, {}};
+            request.fields.add("X-Value", value);
+            BOOST_TEST(fails(request));
+        }
+        for (auto const& name : {std::string(65'534, 'n'), std::string{"a b"}, std::string{"a:"},
+                                 std::string{"a\n"}, std::string{}}) {
+            auto request = http_request{"GET", "/", {}, {}};
+            request.fields.add(name, "1");
+            BOOST_TEST(fails(request));
+        }
+        for (auto const& target : {std::string{"/a b"}, std::string{"/a\r\nX-More: 1"}}) {
+            BOOST_TEST(fails({"GET", target, {}, {}}));
+        }
+        BOOST_TEST(served == 0);
+        auto sound = http_request{"GET", "/\xc3\xa4", {}, {}};
+        sound.fields.add("X-Value", "\xff\t~");
+        BOOST_TEST(base::succeeded(fetch(server.address(), sound, connection_use::pooled, soon())));
+        BOOST_TEST(served == 1);
+    });
+}
+
 BOOST_FIXTURE_TEST_CASE(an_answer_in_parts_arrives_in_order, fixture) {
     auto server = http_server(this->pool, loopback, {}, [](http_request const&, auto& responder) {
         responder.start(200, {});
