Time: durations that are computed from a number stay within a year

A number that others state may be of any size. Its conversion to a duration was undefined beyond the range, and a deadline computed from it wrapped round: the time was over at once.

Change: `from_seconds` limits its result to a year in both directions and reads NaN as 0; `limited_span` does the same for counts of a unit. Deadlines a year ahead are within the range of a time point.

--- a/linnetlane/base/time.h
+++ b/linnetlane/base/time.h
@@ -6,7 +6,9 @@
 
 #include <time.h>
 
+#include <algorithm>
 #include <chrono>
+#include <cstdint>
 
 namespace linnetlane::base {
 
@@ -32,9 +34,30 @@
     }
 };
 
-// `seconds` as a duration.
+// The longest duration that is computed from a number. A deadline so far away is within the range
+// of a time point.
+inline constexpr auto longest_span = std::chrono::hours{24 * 365};
+
+// `seconds` as a duration, limited to `longest_span` in both directions; 0 if it isn't a number.
 [[nodiscard]] constexpr auto from_seconds(double seconds) -> duration {
-    return std::chrono::duration_cast<duration>(std::chrono::duration<double>(seconds));
+    constexpr auto limit = std::chrono::duration<double>(longest_span).count();
+    if (seconds >= limit) {
+        return longest_span;
+    }
+    if (seconds <= -limit) {
+        return -longest_span;
+    }
+    // No comparison holds for NaN.
+    return seconds > -limit
+               ? std::chrono::duration_cast<duration>(std::chrono::duration<double>(seconds))
+               : duration::zero();
+}
+
+// `count` times `Unit` as a duration, limited to `longest_span` in both directions.
+template <typename Unit>
+[[nodiscard]] constexpr auto limited_span(std::int64_t count) -> duration {
+    constexpr auto limit = std::int64_t{Unit{longest_span}.count()};
+    return Unit{std::clamp(count, -limit, limit)};
 }
 
 // `span` in seconds.
