Odd entries of other writers neither end a host nor cut off its followers

Callers would have seen hosts end and streams break; operators, hosts that no longer follow the others.

A host with 2^63 followers, or an answer with so many hosts, left others no share of limits.

Thrift messages that are nested 500,000 deep or announce two thousand million elements were rejected before; the test stays as a guard.

Cause: each reader converted what it read by itself, and what was passed on was checked only by the receiver.

--- a/linnetlane/router/host_membership.h
+++ b/linnetlane/router/host_membership.h
@@ -11,6 +11,7 @@
 #include <cstddef>
 #include <map>
 #include <optional>
+#include <set>
 #include <utility>
 #include <vector>
 
@@ -170,6 +171,7 @@
         auto& view = this->host.view;
         auto const now = base::monotonic_clock::now();
         view.learn_quarantined(listed.quarantined, now);
+        this->note_unreadable(listed.unreadable);
         auto const followers = view.feed.followers(now);
         this->publish_followers(followers.size());
         view.other_readers.clear();
@@ -189,6 +191,19 @@
         this->record_quarantines(listed);
     }
 
+    // Logs each host whose entry can't be read once, until it can.
+    auto note_unreadable(std::vector<base::host_id> const& hosts) -> void {
+        auto found = std::set<base::host_id>{hosts.begin(), hosts.end()};
+        for (auto const& each : found) {
+            if (!this->unreadable.contains(each)) {
+                this->host.log.write(telemetry::log_level::warning,
+                                     "registry entry is not a valid host record",
+                                     {telemetry::field::peer(each)});
+            }
+        }
+        this->unreadable = std::move(found);
+    }
+
     // Records what is quarantined in the registry, for hosts that start after all others were
     // lost.
     auto record_quarantines(host_listing const& listed) -> void {
@@ -492,6 +507,8 @@
     // after a restoration, of which a process that has just started doesn't know.
     base::time_point claims_uncertain_until = started_at + lease_ttl + takeover_margin;
     bool leaving = false;
+    // The hosts in the last list whose entry can't be read.
+    std::set<base::host_id> unreadable;
     // The subjects whose quarantine this host recorded, and when their absence from the list
     // counts again.
     std::map<routing::quarantine_subject, base::time_point> recorded_until;
--- a/linnetlane/router/messages.h
+++ b/linnetlane/router/messages.h
@@ -232,10 +232,18 @@
     registry_position position;
 };
 
+// An entry that names no upstream, since it can't be read.
+struct unreadable_entry {
+    base::upstream_id id;
+    // The field that is missing or has a value that no upstream has; empty if it's the whole entry.
+    base::document_path field;
+
+    friend auto operator==(unreadable_entry const&, unreadable_entry const&) -> bool = default;
+};
+
 struct upstream_listing {
     std::vector<routing::upstream_record> records;
-    // The number of entries that are not valid records.
-    std::size_t unreadable = 0;
+    std::vector<unreadable_entry> unreadable;
     registry_position position;
 };
 
@@ -244,6 +252,8 @@
     std::vector<routing::upstream_record> put;
     std::vector<base::upstream_id> removed;
     registry_position position;
+    // The entries among `removed` that exist and can't be read.
+    std::vector<unreadable_entry> unreadable = {};
 
     // Add a later change, which replaces earlier ones of the same upstream.
     auto note_put(routing::upstream_record record) -> void {
@@ -254,10 +264,15 @@
         this->forget(id);
         this->removed.push_back(id);
     }
+    auto note_unreadable(unreadable_entry entry) -> void {
+        this->note_removed(entry.id);
+        this->unreadable.push_back(std::move(entry));
+    }
     // Drops the changes of an upstream.
     auto forget(base::upstream_id const& id) -> void {
         std::erase_if(this->put, [&](auto const& record) { return record.id == id; });
         std::erase(this->removed, id);
+        std::erase_if(this->unreadable, [&](auto const& entry) { return entry.id == id; });
     }
 };
 
@@ -275,6 +290,9 @@
     base::duration ttl{};
 };
 
+// A number of hosts above this is read as not stated.
+inline constexpr auto max_hosts = std::size_t{100'000};
+
 // The processor capacity of a host, in thousandths of a core.
 using host_capacity = base::basic_number<struct host_capacity_tag>;
 
@@ -302,6 +320,8 @@
     std::optional<base::host_id> order_giver;
     // What hosts have quarantined.
     std::vector<routing::quarantine_subject> quarantined;
+    // Hosts whose entry can't be read or has a value that no host writes.
+    std::vector<base::host_id> unreadable = {};
 };
 
 // Whether a read of the registry may return stale data, at a lower cost.
--- a/linnetlane/router/peer_codec.cpp
+++ b/linnetlane/router/peer_codec.cpp
@@ -24,8 +24,6 @@
 constexpr auto size_bounds = protocol::compact_bounds{std::int32_t{4} * 1024 * 1024, 100'000};
 // Requests with a longer wait are rejected; no host sends them.
 constexpr auto max_wait = std::chrono::seconds{30};
-// Durations of a configuration are clamped to this, so that no deadline overflows.
-constexpr auto max_span = std::chrono::hours{24 * 365};
 
 // The limits for a caller's request, whose body and header are limited when it is received.
 constexpr auto request_bounds = protocol::compact_bounds{std::int32_t{16} * 1024 * 1024, 10'000};
@@ -266,10 +264,13 @@
 }
 
 auto span(std::int64_t microseconds) -> base::duration {
-    return std::chrono::microseconds{
-        std::clamp<std::int64_t>(microseconds, 0, std::chrono::microseconds{max_span}.count())};
+    return std::max(base::limited_span<std::chrono::microseconds>(microseconds),
+                    base::duration::zero());
 }
 
+// Amounts are converted to integers.
+constexpr auto max_amount = 1e15;
+
 // Facts of unknown kinds are left out; hosts of later versions may send them.
 auto from_wire(std::vector<peer_wire::fact>&& in) -> std::vector<aged_fact> {
     auto facts = std::vector<aged_fact>{};
@@ -282,7 +283,7 @@
         }
         facts.push_back({{static_cast<routing::fact_kind>(each.kind), std::move(each.subject),
                           std::move(each.witness)},
-                         each.amount,
+                         std::clamp(each.amount, -max_amount, max_amount),
                          span(each.age)});
     }
     return facts;
@@ -559,11 +560,13 @@
     auto& changes = update.upstreams;
     changes.position.value = static_cast<std::uint64_t>(in->position);
     for (auto& each : in->put) {
-        auto record = from_wire(std::move(each));
-        if (!record) {
-            return registry_failure::malformed;
+        auto const id = base::upstream_id{each.id};
+        if (auto record = from_wire(std::move(each))) {
+            changes.put.push_back(std::move(*record));
+        } else if (!id.value.empty()) {
+            changes.removed.push_back(id);
+            changes.unreadable.push_back({id, {}});
         }
-        changes.put.push_back(std::move(*record));
     }
     for (auto& id : in->removed) {
         changes.removed.push_back(base::upstream_id{std::move(id)});
@@ -579,6 +582,9 @@
     update.complete = in->__isset.complete && in->complete;
     update.grace_left = in->__isset.grace_left ? span(in->grace_left) : base::duration{};
     update.hosts = in->__isset.hosts ? amount(in->hosts) : 0;
+    if (update.hosts > max_hosts) {
+        update.hosts = 0;
+    }
     for (auto& host : in->relays) {
         if (auto entry = from_wire(std::move(host))) {
             update.relays.push_back(std::move(*entry));
--- a/linnetlane/router/peers_test.cpp
+++ b/linnetlane/router/peers_test.cpp
@@ -3,7 +3,9 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cmath>
 #include <cstddef>
+#include <cstdint>
 #include <limits>
 #include <map>
 #include <memory>
@@ -473,6 +475,77 @@
     }));
 }
 
+// A host that followed one with such a record rejected all of its answers.
+BOOST_AUTO_TEST_CASE(a_record_that_cannot_be_read_names_no_upstream_and_hides_no_other) {
+    auto usual = peer_wire::upstream{};
+    usual.__set_id("u1");
+    usual.__set_service_name("app");
+    usual.__set_address("10.0.0.1");
+    usual.__set_port(80);
+    usual.__set_slots(1);
+    auto answer = peer_wire::changes_answer{};
+    answer.__set_outcome(peer_wire::outcome::changes);
+    answer.put = {usual, usual, usual, usual, usual};
+    answer.put[0].__set_id("u0");
+    answer.put[0].__set_slots(-1);
+    answer.put[1].__set_id("");
+    answer.put[3].__set_id("u3");
+    answer.put[3].__set_port(70'000);
+    answer.put[4].__set_id("u4");
+    auto const back = decode_answer(protocol::write_compact(answer));
+    BOOST_REQUIRE(base::succeeded(back));
+    auto const& changes = base::value_of(back).upstreams;
+    BOOST_REQUIRE(changes.put.size() == 2U);
+    BOOST_TEST(changes.put[0].id.value == "u1");
+    BOOST_TEST(changes.put[1].id.value == "u4");
+    BOOST_TEST((changes.removed == std::vector{base::upstream_id{"u0"}, base::upstream_id{"u3"}}));
+}
+
+BOOST_AUTO_TEST_CASE(deeply_nested_messages_and_endless_lists_are_rejected) {
+    // The first field of a struct is a struct; a field of an unknown number is skipped.
+    for (auto const field : {'\x1c', '\x7c'}) {
+        auto const deep = std::string(500'000, field);
+        BOOST_TEST(base::failure_of(decode_answer(deep)) != nullptr);
+        BOOST_TEST(!decode_question(deep).has_value());
+        BOOST_TEST(!decode_forwarded(deep).has_value());
+        BOOST_TEST(!decode_fact_report(deep).has_value());
+    }
+    // A list of two thousand million structs, and one of a negative length.
+    for (auto const* const size : {"\xff\xff\xff\xff\x07", "\xff\xff\xff\xff\x0f"}) {
+        auto const endless = std::string{"\x39\xfc"} + size;
+        BOOST_TEST(!decode_fact_report(std::string{"\x19\xfc"} + size).has_value());
+        BOOST_TEST(base::failure_of(decode_answer(endless)) != nullptr);
+    }
+}
+
+// Hosts divide what all may use by their number.
+BOOST_AUTO_TEST_CASE(odd_numbers_in_an_answer_are_limited) {
+    for (auto const number :
+         {std::numeric_limits<std::int64_t>::max(), std::numeric_limits<std::int64_t>::min()}) {
+        auto answer = peer_wire::changes_answer{};
+        answer.__set_outcome(peer_wire::outcome::changes);
+        answer.__set_hosts(number);
+        answer.__set_grace_left(number);
+        answer.__set_configuration_age(number);
+        auto fact = peer_wire::fact{};
+        fact.__set_kind(static_cast<std::int32_t>(routing::fact_kind::upstream_crash));
+        fact.__set_subject("s");
+        fact.__set_amount(static_cast<double>(number) * 1e280);
+        fact.__set_age(number);
+        answer.__set_facts({fact});
+        auto const back = decode_answer(protocol::write_compact(answer));
+        BOOST_REQUIRE(base::succeeded(back));
+        auto const& update = base::value_of(back);
+        BOOST_TEST(update.hosts <= 100'000U);
+        BOOST_REQUIRE(update.facts.size() == 1U);
+        BOOST_TEST(std::abs(update.facts[0].value) <= 1e15);
+        auto const now = base::monotonic_clock::now();
+        BOOST_TEST((now - update.facts[0].age <= now));
+        BOOST_TEST((now + update.grace_left >= now));
+        BOOST_TEST((now - update.configuration_age.value_or(base::duration{}) <= now));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(malformed_questions_and_answers_of_quotas_are_rejected) {
     auto const nameless = make_quota_request({base::caller_id{}, 1, false, {}});
     BOOST_TEST(!decode_quota_question(nameless.body).has_value());
--- a/linnetlane/router/registry_follower.h
+++ b/linnetlane/router/registry_follower.h
@@ -13,6 +13,7 @@
 #include <chrono>
 #include <cstddef>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -296,6 +297,8 @@
 class upstream_follower {
 public:
     static constexpr auto sweep_interval = std::chrono::milliseconds{200};
+    // Memory for entries of other writers is bounded.
+    static constexpr auto max_unreadable = std::size_t{1000};
 
     // Receives the configurations that a followed host provides; null if there is no newer one.
     using configuration_hook =
@@ -370,12 +373,9 @@
         }
         this->note_registry_answered();
         auto const& listed = base::value_of(listing);
-        if (listed.unreadable > 0) {
-            this->host.log.write(telemetry::log_level::warning,
-                                 "registry entries are not valid upstream records",
-                                 {{"entries", static_cast<std::int64_t>(listed.unreadable)}});
-        }
         this->apply_listing(listed.records);
+        this->unreadable.clear();
+        this->note_unreadable(listed.unreadable);
         view.feed.restart(listed.position);
         return listed.position;
     }
@@ -517,6 +517,7 @@
         view.upstreams.extend_grace(base::monotonic_clock::now(), update.grace_left);
         if (update.complete) {
             this->apply_listing(update.upstreams.put);
+            this->note_unreadable(update.upstreams.unreadable);
             view.feed.restart(update.upstreams.position);
             view.feed.invalidate();
         } else {
@@ -670,7 +671,9 @@
                              {{"put", static_cast<std::int64_t>(changes.put.size())},
                               {"removed", static_cast<std::int64_t>(changes.removed.size())},
                               {"position", static_cast<std::int64_t>(changes.position.value)}});
-        if (changes.removed.size() > upstreams.all().size() / 4 + 1) {
+        auto const known_removed = std::ranges::count_if(
+            changes.removed, [&](auto const& id) { return upstreams.find(id) != nullptr; });
+        if (static_cast<std::size_t>(known_removed) > upstreams.all().size() / 4 + 1) {
             // So many upstreams don't leave at once: their entries have expired during an outage of
             // the registry.
             upstreams.begin_grace(now);
@@ -678,7 +681,9 @@
         for (auto const& record : changes.put) {
             this->note_change(record);
             upstreams.put(record);
+            this->unreadable.erase(record.id);
         }
+        this->note_unreadable(changes.unreadable);
         auto dropped = std::vector<base::upstream_id>{};
         for (auto const& id : changes.removed) {
             if (upstreams.remove(id, now)) {
@@ -691,6 +696,22 @@
         }
     }
 
+    // Logs entries that can't be read, each once until it changes. Their writers may repeat them.
+    auto note_unreadable(std::vector<unreadable_entry> const& entries) -> void {
+        for (auto const& entry : entries) {
+            if (this->unreadable.size() >= max_unreadable) {
+                this->unreadable.clear();
+            }
+            auto const [known, is_new] = this->unreadable.try_emplace(entry.id, entry.field);
+            if (is_new || known->second != entry.field) {
+                known->second = entry.field;
+                this->host.log.write(telemetry::log_level::warning,
+                                     "registry entry is not a valid upstream record",
+                                     {entry.id, telemetry::field::named("field", entry.field)});
+            }
+        }
+    }
+
     auto note_change(routing::upstream_record const& record) -> void {
         if (auto const* const ended = this->host.view.upstreams.superseded_by(record)) {
             this->host.log.write(telemetry::log_level::info, "upstream gone",
@@ -745,6 +766,8 @@
     base::host_id followed;
     base::time_point next_order_refresh = base::time_point::min();
     registry_era known_era;
+    // The entries that can't be read and have been logged, with the field.
+    std::map<base::upstream_id, base::document_path> unreadable;
     // The host with which facts were exchanged last, and what each of both knows.
     base::host_id facts_from;
     fact_mark received_facts;
--- a/linnetlane/routing/upstream_set.cpp
+++ b/linnetlane/routing/upstream_set.cpp
@@ -24,7 +24,8 @@
 auto upstream_set::extend_grace(base::time_point now, base::duration left) -> void {
     if (left > base::duration::zero()) {
         this->outage = false;
-        this->grace_until = std::max(this->grace_until, now + left);
+        this->grace_until =
+            std::max(this->grace_until, now + std::min<base::duration>(left, reregistration_grace));
     }
 }
 
