Generations: a stream that the caller has received in part waits for room

Cause: a generation without room is refused at once and told to come back after an eighth of its target. New streams then take what becomes free; the caller of a stream in progress returns only a few times.

Ruled out: the version.

Change: while engines of its version serve, a stream that the caller has received in part asks them again every 60 ms, for the target latency at most; it isn't refused for the length of the prefill queue; and a caller that is refused in the end is told to come back after a share of its time, since the target is missed in any case. A stream for which no engine could have room is refused at once.

--- a/linnetlane/router/generation_forwarder.h
+++ b/linnetlane/router/generation_forwarder.h
@@ -36,6 +36,11 @@
     // The share of the target latency that a prefill may be expected to take. The rest is left for
     // the reservation and the first event.
     static constexpr auto prefill_share_of_target = 0.85;
+    // How long a stream that the caller has received in part waits for room, as a share of the
+    // target latency, and how often it asks meanwhile. New streams take what becomes free within
+    // that time, and its caller would return only a few times.
+    static constexpr auto room_wait_share_of_target = 1.0;
+    static constexpr auto room_check_interval = std::chrono::milliseconds{60};
     // The number of attempts (reservation, prefill and decode) for one request.
     static constexpr auto max_tries = 3;
 
@@ -95,7 +100,7 @@
             base::duration::zero()) {
             return attempt_result::no_capacity;
         }
-        if (!this->prefill_is_timely({})) {
+        if (!this->is_in_progress() && !this->prefill_is_timely({})) {
             this->log_step({}, "prefill queues are too long");
             return attempt_result::no_capacity;
         }
@@ -143,9 +148,42 @@
     // ---- Reservation ----
 
     auto reserve() -> std::optional<decode_reservation> {
+        auto reserved = this->reserve_once();
+        if (reserved || !this->is_in_progress()) {
+            return reserved;
+        }
+        auto const until =
+            std::min(this->context.answer_by,
+                     base::monotonic_clock::now() +
+                         std::chrono::duration_cast<base::duration>(
+                             this->context.route.target_latency * room_wait_share_of_target));
+        while (!reserved && this->waits_for_room(until)) {
+            reserved = this->reserve_once();
+        }
+        return reserved;
+    }
+
+    // Suspends the calling fiber until engines are to be asked again. Returns false if there is no
+    // reason to.
+    auto waits_for_room(base::time_point until) -> bool {
+        auto const next = base::monotonic_clock::now() + room_check_interval;
+        auto const may_become_free =
+            this->reservation_failure == attempt_result::no_capacity && this->engines_known;
+        if (!may_become_free || next >= until) {
+            return false;
+        }
+        runtime::sleep_until(next);
+        if (this->context.cancelled.cancelled()) {
+            this->reservation_failure = attempt_result::caller_left;
+        }
+        return !this->context.cancelled.cancelled();
+    }
+
+    auto reserve_once() -> std::optional<decode_reservation> {
         auto const now = base::monotonic_clock::now();
         auto const candidates = this->context.state().generation.decode_candidates(
             this->engines_to_ask(now), this->context.host.view.draw(), now, this->required);
+        this->engines_known = !candidates.empty();
         auto const asked_before = this->engines_asked;
         auto reserved = this->search(candidates);
         auto const asked = this->engines_asked - asked_before;
@@ -729,6 +767,14 @@
     [[nodiscard]] auto return_delay() const -> base::duration {
         auto& view = this->context.host.view;
         auto const soon = routing::retry_after(this->context.route.target_latency, view.draw());
+        if (this->is_in_progress()) {
+            // Its target is missed in any case; what counts is that room is found in the end.
+            constexpr auto share_of_time_left = 0.15;
+            auto const left = this->context.answer_by - base::monotonic_clock::now();
+            auto const later = std::chrono::duration_cast<base::duration>(
+                left * share_of_time_left * (0.5 + view.draw()));
+            return std::max(soon, later);
+        }
         if (!this->outranked_until) {
             return soon;
         }
@@ -797,6 +843,8 @@
     // any.
     std::optional<base::software_version> required;
     std::size_t engines_asked = 0;
+    // The last search found engines that could be asked.
+    bool engines_known = false;
     std::size_t prefills = 0;
     std::size_t decodes = 0;
     // Decodes that the engine ran or may have run.
