Tests: answers that break off in the head or the body

Another operator saw callers that got a 200 with an empty or short body, framed as whole, after an upstream had stopped in the middle of an answer's head.

- Heads that are cut at every byte, then closed or reset: on new and on kept connections, for GET and HEAD, with a length, chunked and with neither, also behind an interim response and behind a response that is skipped.
- Bodies that are cut in a chunk's size, extension, data, last chunk or trailers, or before their length.
A body without a length is complete when its connection is closed, and not when it is reset.
- Heads that lenient parsers accept: bare LF, a status line only, no HTTP, different lengths, a length with chunks, folded lines.
- An aborted response is always a beginning of the body, without the last chunk, also if the client has sent bytes that are never read.

--- a/linnetlane/runtime/http_test.cpp
+++ b/linnetlane/runtime/http_test.cpp
@@ -7,11 +7,13 @@
 #include <mutex>
 #include <string>
 #include <thread>
+#include <utility>
 #include <vector>
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
@@ -213,6 +215,10 @@
     bool endless = false;
     // Closes the connection after the last part, instead of waiting for the next request.
     bool closes = false;
+    // Closes it with a reset.
+    bool resets = false;
+    // Sent to the first request of a connection instead of the parts, unless it is empty.
+    std::string first = {};
 };
 
 // Serves one connection after the other, each until the client closes it, with any bytes as
@@ -285,6 +291,7 @@
     auto serve(tcp::socket& connection) -> void {
         auto received = std::string{};
         auto error = boost::system::error_code{};
+        auto is_first = !this->bytes.first.empty();
         while (!this->stopping) {
             auto const head = boost::asio::read_until(
                 connection, boost::asio::dynamic_buffer(received), "\r\n\r\n", error);
@@ -292,12 +299,24 @@
                 return;
             }
             received.erase(0, head);
+            if (std::exchange(is_first, false)) {
+                this->send(connection, this->bytes.first, error);
+                continue;
+            }
             for (auto const& part : this->bytes.parts) {
                 this->send(connection, part, error);
             }
             while (this->bytes.endless && !error && !this->stopping) {
                 this->send(connection, this->bytes.parts.back(), error);
             }
+            if (this->bytes.resets) {
+                connection.set_option(boost::asio::socket_base::linger{true, 0}, error);
+                // Its destructor would close it regularly.
+                auto const guard = std::scoped_lock{this->mutex};
+                this->current = nullptr;
+                connection.close(error);
+                return;
+            }
             if (error || this->bytes.closes) {
                 return;
             }
@@ -476,5 +495,215 @@
     this->expect_failure(server, soon(), http_failure_kind::malformed);
 }
 
+// ---- Responses that end early ----
+
+// How a connection ends, and what came before on it.
+struct cut_case {
+    bool resets = false;
+    bool kept = false;
+    std::string before = {};
+};
+
+auto cut_cases() -> std::vector<cut_case> {
+    auto cases = std::vector<cut_case>{};
+    for (auto const resets : {false, true}) {
+        for (auto const kept : {false, true}) {
+            for (auto const& before : {std::string{}, hints}) {
+                cases.push_back({resets, kept, before});
+            }
+        }
+    }
+    return cases;
+}
+
+auto const head_begin = std::string{"HTTP/1.1 200 OK\r\nX-Of: answer\r\n"};
+auto const chunked_body = std::string{"5;name=\"a\"\r\nwhole\r\n3\r\nend\r\n0\r\nX-Sum: 8\r\n\r\n"};
+
+struct cut_fixture : fixture {
+    auto fetch_from(raw_server const& server, bool kept, std::string const& method = "GET")
+        -> base::result<http_response, http_failure> {
+        auto result = base::result<http_response, http_failure>{http_failure{}};
+        in_fiber(this->pool, [&] {
+            if (kept) {
+                BOOST_REQUIRE(
+                    base::succeeded(fetch(server.address(), {}, connection_use::pooled, soon())));
+            }
+            result = fetch(server.address(), http_request{method, "/", {}, {}},
+                           connection_use::pooled, soon());
+        });
+        return result;
+    }
+
+    // Checks that each beginning of `bytes` with at least `least` bytes is no complete response.
+    auto expect_no_answer(std::string const& bytes, std::size_t least, std::string const& method)
+        -> void {
+        for (auto const& each : cut_cases()) {
+            for (auto size = least; size < bytes.size(); ++size) {
+                auto const server = raw_server{{.parts = {each.before + bytes.substr(0, size)},
+                                                .closes = true,
+                                                .resets = each.resets,
+                                                .first = each.kept ? final_answer : std::string{}}};
+                BOOST_TEST(!base::succeeded(this->fetch_from(server, each.kept, method)),
+                           bytes.substr(0, size));
+            }
+        }
+    }
+};
+
+// Guards against a head that breaks off being taken for one whose body is empty or shorter.
+BOOST_FIXTURE_TEST_CASE(a_head_that_is_cut_anywhere_is_no_answer, cut_fixture) {
+    for (auto const* const method : {"GET", "HEAD"}) {
+        for (auto const* const last_field :
+             {"Content-Length: 1234", "Transfer-Encoding: chunked", "Content-Type: text/plain"}) {
+            this->expect_no_answer(head_begin + last_field + "\r\n\r\n", 0, method);
+        }
+    }
+}
+
+BOOST_FIXTURE_TEST_CASE(a_head_that_is_cut_behind_another_response_is_no_answer, cut_fixture) {
+    auto const head = head_begin + "Content-Length: 1234\r\n\r\n";
+    for (auto const resets : {false, true}) {
+        for (auto size = std::size_t{0}; size < head.size(); ++size) {
+            auto const server = raw_server{
+                {.parts = {final_answer + head.substr(0, size)}, .closes = true, .resets = resets}};
+            in_fiber(this->pool, [&] {
+                auto opened = open_stream(server.address(), {}, connection_use::pooled, soon());
+                if (!base::succeeded(opened)) {
+                    // The reset overtook the first response.
+                    BOOST_TEST(resets);
+                    return;
+                }
+                auto stream = base::take_value(std::move(opened));
+                BOOST_TEST(!base::succeeded(stream.read_next_response(soon())));
+            });
+        }
+    }
+}
+
+BOOST_FIXTURE_TEST_CASE(a_body_that_is_cut_anywhere_is_no_answer, cut_fixture) {
+    auto const chunked = head_begin + "Transfer-Encoding: chunked\r\n\r\n";
+    this->expect_no_answer(chunked + chunked_body, chunked.size(), "GET");
+    auto const sized = head_begin + "Content-Length: 12\r\n\r\n";
+    this->expect_no_answer(sized + "twelve bytes", sized.size(), "GET");
+}
+
+// It ends with its connection, and a reset is no such end.
+BOOST_FIXTURE_TEST_CASE(a_body_without_length_is_complete_unless_it_is_reset, cut_fixture) {
+    for (auto const& body : {std::string{}, std::string{"whole"}}) {
+        for (auto const& each : cut_cases()) {
+            auto const server = raw_server{{.parts = {each.before + head_begin + "\r\n" + body},
+                                            .closes = true,
+                                            .resets = each.resets,
+                                            .first = each.kept ? final_answer : std::string{}}};
+            auto const fetched = this->fetch_from(server, each.kept);
+            BOOST_TEST(base::succeeded(fetched) == !each.resets,
+                       body << " resets " << each.resets << " kept " << each.kept << " before "
+                            << each.before.size());
+            if (base::succeeded(fetched)) {
+                BOOST_TEST(base::value_of(fetched).body == body);
+            }
+        }
+    }
+}
+
+// Guards against heads that lenient parsers take for complete, or whose body has no certain end.
+BOOST_FIXTURE_TEST_CASE(a_head_that_breaks_the_protocol_is_no_answer, cut_fixture) {
+    for (auto const* const bytes : {
+             "",
+             "\r\n\r\n",
+             "whole",
+             "HTTP/1.1 200 OK\r\n",
+             "HTTP/1.1 200 OK\n\nwhole",
+             "HTTP/1.1 200 OK\r\nContent-Length: 5\n\nwhole",
+             "HTTP/1.1 200 OK\nContent-Length: 5\n\nwhole",
+             "HTTP/1.1 200 OK\r\nContent-Length: 5\r\rwhole",
+             "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\nwhole",
+             "HTTP/1.1 200 OK\r\nContent-Length\r\n\r\nwhole",
+             "HTTP/1.1 200 OK\r\nContent-Length: \r\n\r\nwhole",
+             "HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\nwhole",
+             "HTTP/1.1 200 OK\r\nContent-Length: 5x\r\n\r\nwhole",
+             "HTTP/1.1 200 OK\r\nContent-Length: 99999999999999999999\r\n\r\nwhole",
+             "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nContent-Length: 4\r\n\r\nwhole",
+             "HTTP/1.1 200 OK\r\nContent-Length: 5, 4\r\n\r\nwhole",
+             "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n 2\r\n\r\ntwelve bytes",
+             "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n"
+             "5\r\nwhole\r\n0\r\n\r\n",
+             "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Length: 5\r\n\r\n"
+             "5\r\nwhole\r\n0\r\n\r\n",
+             "HTTP/1.1 20",
+             "HTTP/1.1 2000 OK\r\n\r\n",
+             "HTTP/2 200 OK\r\n\r\nwhole",
+         }) {
+        for (auto const resets : {false, true}) {
+            auto const server = raw_server{{.parts = {bytes}, .closes = true, .resets = resets}};
+            BOOST_TEST(!base::succeeded(this->fetch_from(server, false)), bytes);
+        }
+    }
+}
+
+BOOST_FIXTURE_TEST_CASE(equal_lengths_that_are_stated_twice_are_one_length, cut_fixture) {
+    auto const server = raw_server{{.parts = {"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n"
+                                              "Content-Length: 5\r\n\r\nwhole"}}};
+    auto const fetched = this->fetch_from(server, false);
+    BOOST_REQUIRE(base::succeeded(fetched));
+    BOOST_TEST(base::value_of(fetched).body == "whole");
+}
+
+// ---- What clients receive of responses without a body, of old clients, and of aborted ones ----
+
+// The bytes that a client received, and whether the connection was closed regularly.
+struct received_bytes {
+    std::string bytes;
+    bool regular_end = false;
+};
+
+struct byte_client : fixture {
+    // Sends `request` and returns all that is received until the connection ends.
+    static auto exchange(http_server const& server, std::string const& request) -> received_bytes {
+        namespace asio = boost::asio;
+        auto context = asio::io_context{};
+        auto connection = asio::ip::tcp::socket{context};
+        connection.connect({asio::ip::make_address("127.0.0.1"), server.address().port});
+        auto received = received_bytes{};
+        auto error = boost::system::error_code{};
+        asio::write(connection, asio::buffer(request), error);
+        asio::read(connection, asio::dynamic_buffer(received.bytes), error);
+        received.regular_end = error == asio::error::eof;
+        return received;
+    }
+    static auto body_of(received_bytes const& received) -> std::string {
+        auto const end = received.bytes.find("\r\n\r\n");
+        BOOST_REQUIRE(end != std::string::npos);
+        return received.bytes.substr(end + 4);
+    }
+};
+
+auto const last_request = std::string{"GET /last HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"};
+
+// Also if the client has sent bytes that are never read: what is lost then is the end, never a part
+// in the middle, and the last chunk never arrives.
+BOOST_FIXTURE_TEST_CASE(an_aborted_response_is_a_beginning_without_the_last_chunk, byte_client) {
+    auto const letters = std::string{"abcdefghijklmnopqrst"};
+    auto server =
+        http_server(this->pool, loopback, {}, [&](http_request const&, http_responder& responder) {
+            responder.start(200, {});
+            for (auto const letter : letters) {
+                responder.write(std::string(10'000, letter));
+            }
+            responder.abort();
+        });
+    auto whole = std::string{};
+    for (auto const letter : letters) {
+        whole += "2710\r\n" + std::string(10'000, letter) + "\r\n";
+    }
+    for (auto const& more : {std::string{}, last_request, std::string(100'000, 'z')}) {
+        auto const received = exchange(server, "GET / HTTP/1.1\r\nHost: a\r\n\r\n" + more);
+        auto const end = received.bytes.find("\r\n\r\n");
+        if (end != std::string::npos) {
+            BOOST_TEST(whole.starts_with(received.bytes.substr(end + 4)));
+        }
+    }
+}
+
 }  // namespace
 }  // namespace linnetlane::runtime
