HTTP: messages in an unknown transfer coding are malformed

Beast decodes a body only if `chunked` is the last coding. It took a response with another one (seen with "chu") for a body that ends with its connection, so that callers got a 200 whose body had the lines of the chunks in it. It took such a request for one without a body, and what followed was served as requests of its own: of 5 requests with a request in their bodies ("chu", "gzip", "chunked, gzip", "identity"; "gzip, chunked" was refused as its body had no chunks) the handler served 8. From reading the code, not from a run: a response in "gzip, chunked" was passed on coded, since the field isn't forwarded.

The codings are now checked once the head has been read: a response fails as malformed, and a request is refused with 400 and its connection closed. Both a_body_in_an_unknown_transfer_coding_is_no_answer and a_request_in_an_unknown_transfer_coding_is_refused_with_its_connection failed before. Neither side asks for or sends a coding other than `chunked`.

--- a/linnetlane/runtime/http_client.cpp
+++ b/linnetlane/runtime/http_client.cpp
@@ -244,6 +244,9 @@
                 return http::error::bad_status;
             }
             if (!is_interim(status)) {
+                if (internal::has_unknown_coding(this->parser().get())) {
+                    return http::error::bad_transfer_encoding;
+                }
                 this->fields = internal::fields_of(this->parser().get());
                 return {};
             }
--- a/linnetlane/runtime/http_server.cpp
+++ b/linnetlane/runtime/http_server.cpp
@@ -240,7 +240,12 @@
             http::async_read(this->stream, this->buffer, parser, std::move(handler));
         });
         if (!read.error) {
-            return true;
+            if (!internal::has_unknown_coding(parser.get())) {
+                return true;
+            }
+            // Where its body ends isn't known, and the body may look like further requests.
+            this->refuse(http::status::bad_request);
+            return false;
         }
         if (auto const status = status_for(read.error)) {
             this->refuse(*status);
--- a/linnetlane/runtime/http_test.cpp
+++ b/linnetlane/runtime/http_test.cpp
@@ -641,6 +641,19 @@
     }
 }
 
+// Guards against a body that is passed on with the lines of its chunks.
+BOOST_FIXTURE_TEST_CASE(a_body_in_an_unknown_transfer_coding_is_no_answer, cut_fixture) {
+    for (auto const* const coding :
+         {"chu", "gzip", "chunked, gzip", "gzip, chunked", "chunked, chunked", "identity", ""}) {
+        auto const server = raw_server{{.parts = {head_begin + "Transfer-Encoding: " + coding +
+                                                  "\r\n\r\n5\r\nwhole\r\n0\r\n\r\n"},
+                                        .closes = true}};
+        auto const fetched = this->fetch_from(server, false);
+        BOOST_TEST_REQUIRE(!base::succeeded(fetched), coding);
+        BOOST_TEST((base::failure_of(fetched)->kind == http_failure_kind::malformed));
+    }
+}
+
 BOOST_FIXTURE_TEST_CASE(equal_lengths_that_are_stated_twice_are_one_length, cut_fixture) {
     auto const server = raw_server{{.parts = {"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n"
                                               "Content-Length: 5\r\n\r\nwhole"}}};
@@ -705,5 +718,23 @@
     }
 }
 
+// Guards against a body that is served as a request of its own.
+BOOST_FIXTURE_TEST_CASE(a_request_in_an_unknown_transfer_coding_is_refused_with_its_connection,
+                        byte_client) {
+    auto served = std::atomic<int>{0};
+    auto server =
+        http_server(this->pool, loopback, {}, [&](http_request const&, http_responder& responder) {
+            ++served;
+            responder.send({});
+        });
+    for (auto const* const coding : {"chu", "gzip", "chunked, gzip", "gzip, chunked", "identity"}) {
+        auto const received =
+            exchange(server, std::string{"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: "} +
+                                 coding + "\r\n\r\n" + last_request);
+        BOOST_TEST(received.bytes.starts_with("HTTP/1.1 400 "), coding);
+    }
+    BOOST_TEST(served == 0);
+}
+
 }  // namespace
 }  // namespace linnetlane::runtime
--- a/linnetlane/runtime/internal/beast_messages.h
+++ b/linnetlane/runtime/internal/beast_messages.h
@@ -3,10 +3,13 @@
 #ifndef LINNETLANE_RUNTIME_INTERNAL_BEAST_MESSAGES_H_
 #define LINNETLANE_RUNTIME_INTERNAL_BEAST_MESSAGES_H_
 
+#include <algorithm>
 #include <string>
 #include <string_view>
 
+#include <boost/beast/core/string.hpp>
 #include <boost/beast/http/error.hpp>
+#include <boost/beast/http/field.hpp>
 #include <boost/beast/http/fields.hpp>
 
 #include "linnetlane/runtime/http.h"
@@ -38,6 +41,17 @@
     return fields;
 }
 
+// Returns whether the body has a transfer coding that can't be decoded. Beast knows only `chunked`:
+// it takes a response with another last coding for one that ends with its connection, and a request
+// for one without a body.
+template <typename Message>
+auto has_unknown_coding(Message const& message) -> bool {
+    auto const codings = message.equal_range(boost::beast::http::field::transfer_encoding);
+    return std::any_of(codings.first, codings.second, [](auto const& field) {
+        return !boost::beast::iequals(field.value(), "chunked");
+    });
+}
+
 }  // namespace linnetlane::runtime::internal
 
 #endif  // LINNETLANE_RUNTIME_INTERNAL_BEAST_MESSAGES_H_
