HTTP server: nothing follows the head of a response without a body

Answers to HEAD had their body behind the head, and streamed ones to HEAD or with status 204 or 304 a last chunk. Clients read no body there and take the bytes for the begin of the next response on the connection. A whole response with status 204 or 304 and a body ended the process: Beast throws, and the exception left the fiber (seen: "invalid response body", SIGABRT).

The server now sends the head alone for these. For HEAD the head states the length of the body as for GET. nothing_follows_the_head_of_a_response_without_body failed before in these ways.

--- a/linnetlane/runtime/http_server.cpp
+++ b/linnetlane/runtime/http_server.cpp
@@ -38,6 +38,21 @@
 
 using request_parser = http::request_parser<http::string_body>;
 
+// How the client finds the end of a streamed body.
+enum class body_framing {
+    chunked,
+    // The response has no body.
+    none,
+};
+
+// Responses with these statuses have no body, whatever their fields state.
+auto has_no_body(int status) -> bool {
+    return http::to_status_class(static_cast<unsigned>(status)) ==
+               http::status_class::informational ||
+           status == static_cast<int>(http::status::no_content) ||
+           status == static_cast<int>(http::status::not_modified);
+}
+
 auto status_for(boost::system::error_code error) -> std::optional<http::status> {
     if (error == http::error::body_limit) {
         return http::status::payload_too_large;
@@ -75,6 +90,9 @@
     bool answered = false;
     bool streaming = false;
     bool keep_alive = true;
+    // The current request asks for the head of the response only.
+    bool head_only = false;
+    body_framing framing = body_framing::chunked;
     // Set when the server closes each connection after its response.
     std::atomic<bool> const* closing = nullptr;
 
@@ -149,6 +167,19 @@
             [&](auto handler) { http::async_write(this->stream, message, std::move(handler)); }));
     }
 
+    // Writes a message without its body.
+    template <typename Message>
+    auto write_head(Message& message) -> bool {
+        if (this->gone) {
+            return false;
+        }
+        auto serializer = http::response_serializer<typename Message::body_type>(message);
+        this->extend_write_deadline();
+        return this->written(internal::await_io([&](auto handler) {
+            http::async_write_header(this->stream, serializer, std::move(handler));
+        }));
+    }
+
     template <typename Buffers>
     auto write_buffers(Buffers const& buffers) -> bool {
         if (this->gone) {
@@ -167,9 +198,11 @@
         internal::copy_fields(response.fields, message);
         this->keep_alive = this->stays_open();
         message.keep_alive(this->keep_alive);
-        message.body() = response.body;
+        if (!has_no_body(response.status)) {
+            message.body() = response.body;
+        }
         message.prepare_payload();
-        return this->write_message(message);
+        return this->head_only ? this->write_head(message) : this->write_message(message);
     }
 
     auto start(int status, http_fields const& fields) -> bool {
@@ -181,19 +214,17 @@
         internal::copy_fields(fields, message);
         this->keep_alive = this->stays_open();
         message.keep_alive(this->keep_alive);
-        message.chunked(true);
-        auto serializer = http::response_serializer<http::empty_body>(message);
-        if (this->gone) {
-            return false;
-        }
-        this->extend_write_deadline();
-        return this->written(internal::await_io([&](auto handler) {
-            http::async_write_header(this->stream, serializer, std::move(handler));
-        }));
+        this->framing = this->framing_for(status);
+        message.chunked(this->framing == body_framing::chunked);
+        return this->write_head(message);
+    }
+
+    [[nodiscard]] auto framing_for(int status) const -> body_framing {
+        return this->head_only || has_no_body(status) ? body_framing::none : body_framing::chunked;
     }
 
     auto write(std::string_view part) -> bool {
-        if (part.empty()) {
+        if (part.empty() || this->framing == body_framing::none) {
             return !this->gone;
         }
         return this->write_buffers(http::make_chunk(asio::buffer(part.data(), part.size())));
@@ -201,7 +232,10 @@
 
     auto finish() -> bool {
         this->streaming = false;
-        return this->write_buffers(http::make_chunk_last());
+        if (this->framing == body_framing::chunked) {
+            return this->write_buffers(http::make_chunk_last());
+        }
+        return !this->gone;
     }
 
     auto abort() -> void {
@@ -260,6 +294,7 @@
         request.fields = internal::fields_of(message);
         request.body = message.body();
         this->keep_alive = message.keep_alive();
+        this->head_only = message.method() == http::verb::head;
         this->answered = false;
         this->serving = true;
         this->watch();
--- a/linnetlane/runtime/http_test.cpp
+++ b/linnetlane/runtime/http_test.cpp
@@ -693,6 +693,33 @@
 
 auto const last_request = std::string{"GET /last HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"};
 
+// Guards against bytes that the client takes for the begin of the next response.
+BOOST_FIXTURE_TEST_CASE(nothing_follows_the_head_of_a_response_without_body, byte_client) {
+    auto status = std::atomic<int>{200};
+    auto streams = std::atomic<bool>{false};
+    auto server = http_server(
+        this->pool, loopback, {}, [&](http_request const& request, http_responder& responder) {
+            if (request.target == "/last" || !streams) {
+                responder.send({request.target == "/last" ? 299 : status.load(), {}, "body"});
+                return;
+            }
+            responder.start(status, {});
+            responder.write("part");
+            responder.finish();
+        });
+    for (auto const streamed : {false, true}) {
+        streams = streamed;
+        for (auto const& [method, wanted] : std::vector<std::pair<std::string, int>>{
+                 {"HEAD", 200}, {"HEAD", 502}, {"GET", 204}, {"POST", 304}, {"HEAD", 204}}) {
+            status = wanted;
+            auto const length = method == "POST" ? "Content-Length: 0\r\n" : "";
+            auto const received = exchange(
+                server, method + " / HTTP/1.1\r\nHost: a\r\n" + length + "\r\n" + last_request);
+            BOOST_TEST(body_of(received).starts_with("HTTP/1.1 299 "), received.bytes);
+        }
+    }
+}
+
 // Also if the client has sent bytes that are never read: what is lost then is the end, never a part
 // in the middle, and the last chunk never arrives.
 BOOST_FIXTURE_TEST_CASE(an_aborted_response_is_a_beginning_without_the_last_chunk, byte_client) {
