HTTP server: a stream to an HTTP/1.0 client ends with the connection

HTTP/1.0 clients know no chunks. They got the lines of the chunks as a part of the body, and an aborted stream was closed regularly, which is how a whole body ends for them.

A streamed response to such a client now has no framing and ends with its connection. For HTTP/1.1 an aborted stream lacks its last chunk, as before.

--- a/linnetlane/runtime/http_server.cpp
+++ b/linnetlane/runtime/http_server.cpp
@@ -41,6 +41,9 @@
 // How the client finds the end of a streamed body.
 enum class body_framing {
     chunked,
+    // The client doesn't know chunks. The body ends with the connection, which is reset if the body
+    // isn't complete.
+    until_close,
     // The response has no body.
     none,
 };
@@ -90,8 +93,10 @@
     bool answered = false;
     bool streaming = false;
     bool keep_alive = true;
-    // The current request asks for the head of the response only.
+    // Of the current request: whether it asks for the head of the response only, and whether its
+    // client knows chunks.
     bool head_only = false;
+    bool knows_chunks = true;
     body_framing framing = body_framing::chunked;
     // Set when the server closes each connection after its response.
     std::atomic<bool> const* closing = nullptr;
@@ -216,18 +221,28 @@
         message.keep_alive(this->keep_alive);
         this->framing = this->framing_for(status);
         message.chunked(this->framing == body_framing::chunked);
+        if (this->framing == body_framing::until_close) {
+            this->keep_alive = false;
+            message.keep_alive(false);
+            this->stream.reset_on_close(true);
+        }
         return this->write_head(message);
     }
 
     [[nodiscard]] auto framing_for(int status) const -> body_framing {
-        return this->head_only || has_no_body(status) ? body_framing::none : body_framing::chunked;
+        if (this->head_only || has_no_body(status)) {
+            return body_framing::none;
+        }
+        return this->knows_chunks ? body_framing::chunked : body_framing::until_close;
     }
 
     auto write(std::string_view part) -> bool {
         if (part.empty() || this->framing == body_framing::none) {
             return !this->gone;
         }
-        return this->write_buffers(http::make_chunk(asio::buffer(part.data(), part.size())));
+        auto const bytes = asio::buffer(part.data(), part.size());
+        return this->framing == body_framing::chunked ? this->write_buffers(http::make_chunk(bytes))
+                                                      : this->write_buffers(bytes);
     }
 
     auto finish() -> bool {
@@ -235,6 +250,9 @@
         if (this->framing == body_framing::chunked) {
             return this->write_buffers(http::make_chunk_last());
         }
+        if (this->framing == body_framing::until_close && !this->gone) {
+            this->stream.reset_on_close(false);
+        }
         return !this->gone;
     }
 
@@ -295,6 +313,7 @@
         request.body = message.body();
         this->keep_alive = message.keep_alive();
         this->head_only = message.method() == http::verb::head;
+        this->knows_chunks = message.version() >= http_1_1;
         this->answered = false;
         this->serving = true;
         this->watch();
--- a/linnetlane/runtime/http_test.cpp
+++ b/linnetlane/runtime/http_test.cpp
@@ -720,6 +720,40 @@
     }
 }
 
+// They know no chunks, and would take the lines of the chunks for a part of the body.
+BOOST_FIXTURE_TEST_CASE(a_streamed_response_to_an_old_client_ends_with_its_connection,
+                        byte_client) {
+    auto server =
+        http_server(this->pool, loopback, {}, [](http_request const&, http_responder& responder) {
+            responder.start(200, {});
+            responder.write("one ");
+            responder.write("two");
+            responder.finish();
+        });
+    for (auto const* const more : {"", "Connection: keep-alive\r\n"}) {
+        auto const received = exchange(server, std::string{"GET / HTTP/1.0\r\n"} + more + "\r\n");
+        BOOST_TEST(body_of(received) == "one two");
+        BOOST_TEST(received.bytes.find("chunked") == std::string::npos);
+        BOOST_TEST(received.regular_end);
+    }
+}
+
+// A regular end of the connection would be the end of the body.
+BOOST_FIXTURE_TEST_CASE(an_aborted_response_to_an_old_client_is_reset, byte_client) {
+    for (auto const aborts : {true, false}) {
+        auto server = http_server(this->pool, loopback, {},
+                                  [&](http_request const&, http_responder& responder) {
+                                      responder.start(200, {});
+                                      responder.write("half");
+                                      // Otherwise the handler returns without having finished.
+                                      if (aborts) {
+                                          responder.abort();
+                                      }
+                                  });
+        BOOST_TEST(!exchange(server, "GET / HTTP/1.0\r\n\r\n").regular_end);
+    }
+}
+
 // Also if the client has sent bytes that are never read: what is lost then is the end, never a part
 // in the middle, and the last chunk never arrives.
 BOOST_FIXTURE_TEST_CASE(an_aborted_response_is_a_beginning_without_the_last_chunk, byte_client) {
--- a/linnetlane/runtime/internal/byte_stream.cpp
+++ b/linnetlane/runtime/internal/byte_stream.cpp
@@ -71,9 +71,17 @@
     return handshake.error;
 }
 
+auto byte_stream::reset_on_close(bool wanted) -> void {
+    auto ignored = boost::system::error_code{};
+    this->socket().set_option(asio::socket_base::linger(wanted, 0), ignored);
+    this->resets_on_close = wanted;
+}
+
 auto byte_stream::close() -> void {
     auto ignored = boost::system::error_code{};
-    this->socket().shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
+    if (!this->resets_on_close) {
+        this->socket().shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
+    }
     this->tcp.close();
 }
 
--- a/linnetlane/runtime/internal/byte_stream.h
+++ b/linnetlane/runtime/internal/byte_stream.h
@@ -45,6 +45,9 @@
     // Performs the TLS handshake. Suspends the calling fiber.
     [[nodiscard]] auto secure(tls_context_pointer context, tls_side side)
         -> boost::system::error_code;
+    // Whether the connection ends with a reset, however it ends. The other side then can't take
+    // what it has received for all there is.
+    auto reset_on_close(bool wanted) -> void;
     // Closes the connection immediately. Pending operations fail.
     auto close() -> void;
     // Whether the other side closed its half of the connection, even after unread bytes.
@@ -72,6 +75,7 @@
 
 private:
     boost::beast::tcp_stream tcp;
+    bool resets_on_close = false;
     tls_context_pointer tls_context;
     std::optional<boost::asio::ssl::stream<boost::beast::tcp_stream&>> tls;
 };
