Relay: no event reaches a caller twice

An engine that was to continue a stream after an event, and began again or repeated events instead, had these passed on: the relay read ids only to know the last one. The same for the answer with which a caller resumes a stream, and for an upstream that repeats events of its own. And a stream whose last event had no id was continued at another engine from the last event that had one, or from the start, so that events came twice in an answer that ended as complete.

- event_framing reads the stream by lines and returns events with their ids.
An id counts only if it is nothing but a number; lines end with LF, CR LF or CR; comments and blank lines after the last event are no incomplete event.
- A stream is continued only if its last event with data had an id.

--- a/linnetlane/router/event_framing.cpp
+++ b/linnetlane/router/event_framing.cpp
@@ -2,53 +2,95 @@
 
 #include <algorithm>
 #include <charconv>
-#include <cstddef>
+#include <utility>
 
 namespace linnetlane::router {
 
 namespace {
 
-constexpr auto id_field = std::string_view{"id:"};
+// Returns the number if `text` is one and nothing else.
+auto read_number(std::string_view text) -> std::optional<std::uint64_t> {
+    auto number = std::uint64_t{0};
+    auto const* const end = text.data() + text.size();
+    auto const parsed = std::from_chars(text.data(), end, number);
+    return parsed.ec == std::errc{} && parsed.ptr == end ? std::optional{number} : std::nullopt;
+}
+
+}  // namespace
 
-// Returns the position after the last blank line in `text`, or 0 if there is none.
-auto end_of_last_event(std::string_view text) -> std::size_t {
-    auto const ends_at = [&](std::string_view mark) {
-        auto const place = text.rfind(mark);
-        return place == std::string_view::npos ? 0 : place + mark.size();
-    };
-    return std::max(ends_at("\n\n"), ends_at("\r\n\r\n"));
+auto event_framing::take(std::string_view bytes) -> std::vector<framed_event> {
+    this->pending += bytes;
+    auto complete = std::vector<framed_event>{};
+    this->read_lines(false, complete);
+    return complete;
 }
 
-auto read_id(std::string_view line) -> std::optional<std::uint64_t> {
-    if (!line.starts_with(id_field)) {
-        return std::nullopt;
+auto event_framing::take_end() -> std::vector<framed_event> {
+    auto complete = std::vector<framed_event>{};
+    this->read_lines(true, complete);
+    auto const only_comments = !this->has_fields && this->line_begin == this->pending.size();
+    if (only_comments && !this->pending.empty()) {
+        complete.push_back(this->complete_event(this->pending));
+        this->discard_incomplete();
     }
-    auto digits = line.substr(id_field.size());
-    digits.remove_prefix(std::min(digits.find_first_not_of(' '), digits.size()));
-    auto id = std::uint64_t{0};
-    auto const parsed = std::from_chars(digits.data(), digits.data() + digits.size(), id);
-    return parsed.ec == std::errc{} ? std::optional{id} : std::nullopt;
+    return complete;
 }
 
-}  // namespace
+auto event_framing::discard_incomplete() -> void {
+    *this = event_framing{};
+}
 
-auto event_framing::take(std::string_view bytes) -> std::string {
-    // The bytes before hold no end of an event; one may begin in the last of them.
-    constexpr auto longest_overlap = std::size_t{3};
-    auto const searched = this->pending.size() - std::min(this->pending.size(), longest_overlap);
-    this->pending += bytes;
-    auto const found = end_of_last_event(std::string_view{this->pending}.substr(searched));
-    auto const end = found == 0 ? 0 : searched + found;
-    auto whole = this->pending.substr(0, end);
-    this->pending.erase(0, end);
-    for (auto rest = std::string_view{whole}; !rest.empty();) {
-        auto const line_end = std::min(rest.find('\n'), rest.size() - 1);
-        if (auto const id = read_id(rest.substr(0, line_end))) {
-            this->last_complete_id = id;
+auto event_framing::read_lines(bool at_end, std::vector<framed_event>& complete) -> void {
+    auto event_begin = std::size_t{0};
+    for (;;) {
+        auto const end = this->pending.find_first_of("\r\n", this->searched);
+        this->searched = std::min(end, this->pending.size());
+        if (end == std::string::npos) {
+            break;
+        }
+        auto next = end + 1;
+        if (this->pending[end] == '\r') {
+            // An LF that follows belongs to the same line end.
+            if (next == this->pending.size() && !at_end) {
+                break;
+            }
+            next += this->pending.compare(next, 1, "\n") == 0 ? 1 : 0;
         }
-        rest.remove_prefix(line_end + 1);
+        auto const line =
+            std::string_view{this->pending}.substr(this->line_begin, end - this->line_begin);
+        this->line_begin = next;
+        this->searched = next;
+        if (!line.empty()) {
+            this->read_line(line);
+            continue;
+        }
+        complete.push_back(
+            this->complete_event(this->pending.substr(event_begin, next - event_begin)));
+        event_begin = next;
+    }
+    this->pending.erase(0, event_begin);
+    this->line_begin -= event_begin;
+    this->searched -= event_begin;
+}
+
+auto event_framing::read_line(std::string_view line) -> void {
+    auto const name = line.substr(0, line.find(':'));
+    if (name.empty()) {
+        return;
     }
-    return whole;
+    this->has_fields = true;
+    this->has_data = this->has_data || name == "data";
+    if (name == "id") {
+        auto value = line.substr(std::min(line.size(), name.size() + 1));
+        value.remove_prefix(value.starts_with(' ') ? 1 : 0);
+        this->id = read_number(value);
+    }
+}
+
+auto event_framing::complete_event(std::string bytes) -> framed_event {
+    this->has_fields = false;
+    return framed_event{std::move(bytes), std::exchange(this->id, std::nullopt),
+                        std::exchange(this->has_data, false)};
 }
 
 }  // namespace linnetlane::router
--- a/linnetlane/router/generation_forwarder.h
+++ b/linnetlane/router/generation_forwarder.h
@@ -625,7 +625,8 @@
         }
         this->log_step(reserved.engine.id, "stream is incomplete");
         this->note_upstream_ended(reserved.engine.id, this->relay.answer_began());
-        return this->may_run_again() ? attempt_result::retry : attempt_result::interrupted;
+        return this->relay.can_continue() && this->may_run_again() ? attempt_result::retry
+                                                                   : attempt_result::interrupted;
     }
 
     auto forward_failure(opened_answer& opened) -> attempt_result {
--- a/linnetlane/router/messages.h
+++ b/linnetlane/router/messages.h
@@ -42,6 +42,8 @@
     // request that the stream's first event answered, if it is stated.
     bool resumes = false;
     std::optional<base::caller_request_id> resumed_request;
+    // The id of the last event that the caller has received of that stream, if it is a number.
+    std::optional<std::uint64_t> received_event;
     // Set for prompts that state their size.
     std::optional<routing::generation_size> size;
     // The parts of the prompt that other requests may share, in order; empty if there are none.
