--- a/linnetlane/router/messages.h
+++ b/linnetlane/router/messages.h
@@ -44,6 +44,8 @@
     std::optional<base::caller_request_id> resumed_request;
     // The software version that the host which sent the request on has bound it to.
     std::optional<base::software_version> bound_to;
+    // The id of the last event that the caller has received of that stream, if it is a number.
+    std::optional<std::uint64_t> received_event;
     // Set for prompts that state their size.
     std::optional<routing::generation_size> size;
     // The parts of the prompt that other requests may share, in order; empty if there are none.
--- a/linnetlane/runtime/http_server.cpp
+++ b/linnetlane/runtime/http_server.cpp
@@ -38,6 +38,24 @@
 
 using request_parser = http::request_parser<http::string_body>;
 
+// How the client finds the end of a streamed body.
+enum class body_framing {
+    chunked,
+    // The client doesn't know chunks. The body ends with the connection, which is reset if the body
+    // isn't complete.
+    until_close,
+    // The response has no body.
+    none,
+};
+
+// Responses with these statuses have no body, whatever their fields state.
+auto has_no_body(int status) -> bool {
+    return http::to_status_class(static_cast<unsigned>(status)) ==
+               http::status_class::informational ||
+           status == static_cast<int>(http::status::no_content) ||
+           status == static_cast<int>(http::status::not_modified);
+}
+
 auto status_for(boost::system::error_code error) -> std::optional<http::status> {
     if (error == http::error::body_limit) {
         return http::status::payload_too_large;
@@ -75,6 +93,11 @@
     bool answered = false;
     bool streaming = false;
     bool keep_alive = true;
+    // Of the current request: whether it asks for the head of the response only, and whether its
+    // client knows chunks.
+    bool head_only = false;
+    bool knows_chunks = true;
+    body_framing framing = body_framing::chunked;
     // Set when the server closes each connection after its response.
     std::atomic<bool> const* closing = nullptr;
 
@@ -149,6 +172,19 @@
             [&](auto handler) { http::async_write(this->stream, message, std::move(handler)); }));
     }
 
+    // Writes a message without its body.
+    template <typename Message>
+    auto write_head(Message& message) -> bool {
+        if (this->gone) {
+            return false;
+        }
+        auto serializer = http::response_serializer<typename Message::body_type>(message);
+        this->extend_write_deadline();
+        return this->written(internal::await_io([&](auto handler) {
+            http::async_write_header(this->stream, serializer, std::move(handler));
+        }));
+    }
+
     template <typename Buffers>
     auto write_buffers(Buffers const& buffers) -> bool {
         if (this->gone) {
@@ -167,9 +203,11 @@
         internal::copy_fields(response.fields, message);
         this->keep_alive = this->stays_open();
         message.keep_alive(this->keep_alive);
-        message.body() = response.body;
+        if (!has_no_body(response.status)) {
+            message.body() = response.body;
+        }
         message.prepare_payload();
-        return this->write_message(message);
+        return this->head_only ? this->write_head(message) : this->write_message(message);
     }
 
     auto start(int status, http_fields const& fields) -> bool {
@@ -181,27 +219,41 @@
         internal::copy_fields(fields, message);
         this->keep_alive = this->stays_open();
         message.keep_alive(this->keep_alive);
-        message.chunked(true);
-        auto serializer = http::response_serializer<http::empty_body>(message);
-        if (this->gone) {
-            return false;
+        this->framing = this->framing_for(status);
+        message.chunked(this->framing == body_framing::chunked);
+        if (this->framing == body_framing::until_close) {
+            this->keep_alive = false;
+            message.keep_alive(false);
+            this->stream.reset_on_close(true);
         }
-        this->extend_write_deadline();
-        return this->written(internal::await_io([&](auto handler) {
-            http::async_write_header(this->stream, serializer, std::move(handler));
-        }));
+        return this->write_head(message);
+    }
+
+    [[nodiscard]] auto framing_for(int status) const -> body_framing {
+        if (this->head_only || has_no_body(status)) {
+            return body_framing::none;
+        }
+        return this->knows_chunks ? body_framing::chunked : body_framing::until_close;
     }
 
     auto write(std::string_view part) -> bool {
-        if (part.empty()) {
+        if (part.empty() || this->framing == body_framing::none) {
             return !this->gone;
         }
-        return this->write_buffers(http::make_chunk(asio::buffer(part.data(), part.size())));
+        auto const bytes = asio::buffer(part.data(), part.size());
+        return this->framing == body_framing::chunked ? this->write_buffers(http::make_chunk(bytes))
+                                                      : this->write_buffers(bytes);
     }
 
     auto finish() -> bool {
         this->streaming = false;
-        return this->write_buffers(http::make_chunk_last());
+        if (this->framing == body_framing::chunked) {
+            return this->write_buffers(http::make_chunk_last());
+        }
+        if (this->framing == body_framing::until_close && !this->gone) {
+            this->stream.reset_on_close(false);
+        }
+        return !this->gone;
     }
 
     auto abort() -> void {
@@ -240,7 +292,12 @@
             http::async_read(this->stream, this->buffer, parser, std::move(handler));
         });
         if (!read.error) {
-            return true;
+            if (!internal::has_unknown_coding(parser.get())) {
+                return true;
+            }
+            // Where its body ends isn't known, and the body may look like further requests.
+            this->refuse(http::status::bad_request);
+            return false;
         }
         if (auto const status = status_for(read.error)) {
             this->refuse(*status);
@@ -255,6 +312,8 @@
         request.fields = internal::fields_of(message);
         request.body = message.body();
         this->keep_alive = message.keep_alive();
+        this->head_only = message.method() == http::verb::head;
+        this->knows_chunks = message.version() >= http_1_1;
         this->answered = false;
         this->serving = true;
         this->watch();
