Streams: any request id of a usable length is recorded

The registry's adapter keeps an id that isn't plain text under its digest, so that the ids need no check before. router_stream_origins_test states the bound that is left.

--- a/linnetlane/router/stream_origins.cpp
+++ b/linnetlane/router/stream_origins.cpp
@@ -8,8 +8,7 @@
 
 auto stream_origins::is_recordable(base::caller_request_id const& request) -> bool {
     auto const& id = request.value;
-    return !id.empty() && id.size() <= max_id_bytes &&
-           std::ranges::all_of(id, [](char one) { return one > ' ' && one < '\x7f'; });
+    return !id.empty() && id.size() <= max_id_bytes;
 }
 
 auto stream_origins::bind(stream_origin const& origin, base::time_point now)
--- a/linnetlane/router/stream_origins.h
+++ b/linnetlane/router/stream_origins.h
@@ -32,7 +32,7 @@
     static constexpr auto max_unrecorded = std::size_t{1024};
     static constexpr auto max_id_bytes = std::size_t{128};
     // Returns whether streams of the request are recorded: whether its id is neither empty nor
-    // longer than `max_id_bytes` and has visible ASCII characters only, as keys in registries need.
+    // longer than `max_id_bytes`.
     [[nodiscard]] static auto is_recordable(base::caller_request_id const& request) -> bool;
 
     // Binds a request to the version that begins its stream, unless it is bound already, and
