Streams: other hosts that don't know a version are no proof that there was one only

- A host that is cut off asked another one, which had the registry's answer, no record and two versions in its view, and took the missing version in the answer for consent (went on at v1).
- Two hosts that were cut off together confirmed each other, although a record said v2.
- After missed changes the age of the upstreams still let a host conclude that there had been one version only.
- After a restoration of the registry from a copy without the record and without the newer upstream, v1 was concluded.
- A stream without a record was refused although the host that began it was there (503).
- A caller that named a refused resume was refused again.

Change: an answer between hosts states whether the registry has answered and which version only the host has known. Without the registry, a host concludes only if more than half of the hosts it asks have no answer of the registry either and know the same version only. Changes that can't be read, and unknown upstreams that left, rule a conclusion out, and so do missed changes and a restoration for the life of a stream. If there is no record, other hosts are asked for what they remember. Records are written again after their lease has ended or the registry was restored, failed ones before later ones, at no more than 200 writes a second from all hosts.

--- a/linnetlane/protocol/router.thrift
+++ b/linnetlane/protocol/router.thrift
@@ -210,11 +210,17 @@
 struct origin_question {
     1: string request,
     2: string service_name,
+    // The sender has an answer of the registry, so the receiver doesn't ask it.
+    3: optional bool memory_only,
 }
 
 struct origin_answer {
     // Left out if the receiver doesn't know it.
     1: optional string software_version,
+    // Whether the registry has answered the receiver.
+    2: optional bool registry_answered,
+    // The only version that the receiver has known for as long as a stream can be resumed.
+    3: optional string sole_version,
 }
 
 // Requests a part of a client account's quota from the host that keeps it for the sender, or gives
--- a/linnetlane/router/host.h
+++ b/linnetlane/router/host.h
@@ -237,7 +237,7 @@
                             "malformed question for the origin of a stream from a host", {});
             response.status = 400;
         } else {
-            response.body = encode_origin(this->origins.find_for_host(*question));
+            response.body = encode(this->origins.find_for_host(*question));
         }
         // If the peer has disconnected, it has another answer.
         static_cast<void>(responder.send(response));
@@ -373,6 +373,10 @@
         if (!context.required && resumes) {
             context.required = this->origins.find(caller, *service);
         }
+        if (resumes && context.required) {
+            // The caller may name this request when it resumes again, also if this one is refused.
+            static_cast<void>(context.bind_version(*context.required));
+        }
         if (resumes && !context.required) {
             this->refuse_unknown_origin(context);
         } else {
--- a/linnetlane/router/peer_codec.cpp
+++ b/linnetlane/router/peer_codec.cpp
@@ -518,6 +518,7 @@
     auto out = peer_wire::origin_question{};
     out.__set_request(question.request.value);
     out.__set_service_name(question.service.value);
+    out.__set_memory_only(question.memory_only);
     return runtime::http_request{
         "POST", std::string{origins_target}, {}, protocol::write_compact(out)};
 }
@@ -528,22 +529,35 @@
         return std::nullopt;
     }
     return origin_question{base::caller_request_id{std::move(in->request)},
-                           base::service_id{std::move(in->service_name)}};
+                           base::service_id{std::move(in->service_name)},
+                           in->__isset.memory_only && in->memory_only};
 }
 
-auto encode_origin(std::optional<base::software_version> const& software) -> std::string {
+auto encode(origin_answer const& answer) -> std::string {
     auto out = peer_wire::origin_answer{};
-    if (software) {
-        out.__set_software_version(software->value);
+    if (answer.software) {
+        out.__set_software_version(answer.software->value);
+    }
+    out.__set_registry_answered(answer.registry_answered);
+    if (answer.sole_version) {
+        out.__set_sole_version(answer.sole_version->value);
     }
     return protocol::write_compact(out);
 }
 
-auto decode_origin(std::string_view text) -> std::optional<base::software_version> {
+auto decode_origin_answer(std::string_view text) -> std::optional<origin_answer> {
     auto in = read<peer_wire::origin_answer>(text);
-    return in && in->__isset.software_version
-               ? std::optional{base::software_version{std::move(in->software_version)}}
-               : std::nullopt;
+    if (!in || !in->__isset.registry_answered) {
+        return std::nullopt;
+    }
+    auto answer = origin_answer{std::nullopt, in->registry_answered, std::nullopt};
+    if (in->__isset.software_version) {
+        answer.software = base::software_version{std::move(in->software_version)};
+    }
+    if (in->__isset.sole_version) {
+        answer.sole_version = base::software_version{std::move(in->sole_version)};
+    }
+    return answer;
 }
 
 auto encode(changes_question const& question) -> std::string {
--- a/linnetlane/router/peer_codec.h
+++ b/linnetlane/router/peer_codec.h
@@ -107,10 +107,23 @@
     // Empty if the caller didn't name the request.
     base::caller_request_id request;
     base::service_id service;
+    // The asking host has an answer of the registry; the asked one uses its memory only.
+    bool memory_only = false;
 
     friend auto operator==(origin_question const&, origin_question const&) -> bool = default;
 };
 
+struct origin_answer {
+    // Nothing if the host doesn't know the version.
+    std::optional<base::software_version> software;
+    // The registry has answered the host.
+    bool registry_answered = false;
+    // The only version that the host has known for as long as a stream can be resumed.
+    std::optional<base::software_version> sole_version;
+
+    friend auto operator==(origin_answer const&, origin_answer const&) -> bool = default;
+};
+
 // Requests a part of an account's quota from the host that keeps it for the sender.
 struct quota_question {
     base::caller_id account;
@@ -166,11 +179,9 @@
 [[nodiscard]] auto make_origin_request(origin_question const& question) -> runtime::http_request;
 // Returns nothing if `text` is malformed.
 [[nodiscard]] auto decode_origin_question(std::string_view text) -> std::optional<origin_question>;
-// The answer holds the version, or nothing if the host doesn't know it.
-[[nodiscard]] auto encode_origin(std::optional<base::software_version> const& software)
-    -> std::string;
-// Returns nothing if the host doesn't know the version or `text` is malformed.
-[[nodiscard]] auto decode_origin(std::string_view text) -> std::optional<base::software_version>;
+[[nodiscard]] auto encode(origin_answer const& answer) -> std::string;
+// Returns nothing if `text` is malformed or the answer of a host that doesn't know the question.
+[[nodiscard]] auto decode_origin_answer(std::string_view text) -> std::optional<origin_answer>;
 
 [[nodiscard]] auto encode(changes_question const& question) -> std::string;
 [[nodiscard]] auto encode(changes_answer const& answer) -> std::string;
--- a/linnetlane/router/peers_test.cpp
+++ b/linnetlane/router/peers_test.cpp
@@ -600,28 +600,32 @@
 
 BOOST_AUTO_TEST_CASE(questions_for_the_origin_of_a_stream_survive_the_wire) {
     auto const named = origin_question{base::caller_request_id{"r1"}, base::service_id{"llm"}};
-    auto const unnamed = origin_question{{}, base::service_id{"llm"}};
+    auto const unnamed = origin_question{{}, base::service_id{"llm"}, true};
     for (auto const& question : {named, unnamed}) {
         auto const message = make_origin_request(question);
         BOOST_TEST(message.target == origins_target);
         BOOST_TEST((decode_origin_question(message.body) == question));
     }
-    BOOST_TEST(decode_origin(encode_origin(base::software_version{"v1"}))->value == "v1");
-    BOOST_TEST(!decode_origin(encode_origin(std::nullopt)).has_value());
+    auto const v1 = base::software_version{"v1"};
+    for (auto const& answer : {origin_answer{v1, true, std::nullopt}, origin_answer{},
+                               origin_answer{std::nullopt, false, v1}}) {
+        BOOST_TEST((decode_origin_answer(encode(answer)) == answer));
+    }
     BOOST_TEST(!decode_origin_question("").has_value());
-    BOOST_TEST(!decode_origin("").has_value());
+    BOOST_TEST(!decode_origin_answer("").has_value());
     BOOST_TEST(rc::check([](std::string const& bytes) {
         static_cast<void>(decode_origin_question(bytes));
-        static_cast<void>(decode_origin(bytes));
+        static_cast<void>(decode_origin_answer(bytes));
     }));
 }
 
 // A host of an older version takes the question for one about changes.
-BOOST_AUTO_TEST_CASE(what_an_older_host_answers_names_no_version) {
+BOOST_AUTO_TEST_CASE(what_an_older_host_answers_is_no_answer_about_a_stream) {
     auto update = registry_update{};
     update.upstreams.position.value = 7;
-    BOOST_TEST(!decode_origin(encode(changes_answer{update})).has_value());
-    BOOST_TEST(!decode_origin(encode(changes_answer{registry_failure::unavailable})).has_value());
+    BOOST_TEST(!decode_origin_answer(encode(changes_answer{update})).has_value());
+    BOOST_TEST(
+        !decode_origin_answer(encode(changes_answer{registry_failure::unavailable})).has_value());
 }
 
 BOOST_AUTO_TEST_CASE(malformed_forwarded_requests_are_rejected) {
--- a/linnetlane/router/registry_follower.h
+++ b/linnetlane/router/registry_follower.h
@@ -442,8 +442,10 @@
             this->host.log.write(telemetry::log_level::warning,
                                  "registry was restored from an older copy",
                                  {{"era", static_cast<std::int64_t>(era.value)}});
-            // The copy may lack live upstreams, which register again.
+            // The copy may lack live upstreams, which register again, and the versions of some.
             this->host.view.upstreams.note_outage();
+            this->host.view.note_missed_changes();
+            this->host.view.origins.record_again();
         }
         this->known_era = era;
     }
--- a/linnetlane/router/routing_view.cpp
+++ b/linnetlane/router/routing_view.cpp
@@ -92,9 +92,13 @@
 auto routing_view::note_upstreams_current(base::boot_clock::time_point moment) -> void {
     auto const last = std::exchange(this->upstreams_current_at, moment);
     if (last && moment - *last > longest_unobserved) {
-        for (auto const& [id, state] : this->services) {
-            state->versions.note_missed_changes(base::monotonic_clock::now());
-        }
+        this->note_missed_changes();
+    }
+}
+
+auto routing_view::note_missed_changes() -> void {
+    for (auto const& [id, state] : this->services) {
+        state->versions.note_missed_changes(base::monotonic_clock::now());
     }
 }
 
--- a/linnetlane/router/routing_view.h
+++ b/linnetlane/router/routing_view.h
@@ -111,6 +111,8 @@
     // Records that the upstreams of this view were those of the registry at `moment`. After a long
     // time without such a record, changes may have been missed.
     auto note_upstreams_current(base::boot_clock::time_point moment) -> void;
+    // Records that changes of the upstreams may have been missed.
+    auto note_missed_changes() -> void;
     // Returns the software version of an upstream that may begin a stream of the service, drawn
     // from those that don't leave and, if it `generates`, decode; nothing if there is none.
     [[nodiscard]] auto draw_version(base::service_id const& id, bool generates)
--- a/linnetlane/router/stream_origin_finder.h
+++ b/linnetlane/router/stream_origin_finder.h
@@ -9,11 +9,9 @@
 // 3. without a record, the only version that there was for as long as a stream can be resumed, if
 // the
 //    registry shows that this host knows all changes;
-// 4. if the registry gives no answer, other hosts, which have the same sources;
-// 5. if they have no answer of the registry either, the only version that this host has known for
-// so
-//    long. A host that reaches neither the registry nor another host concludes nothing: the others
-//    may know a newer version.
+// 4. other hosts, which have the same sources;
+// 5. if most of these have no answer of the registry either, and know the same version only, that
+//    one. Otherwise this host may be cut off while others know a newer version.
 
 #ifndef LINNETLANE_ROUTER_STREAM_ORIGIN_FINDER_H_
 #define LINNETLANE_ROUTER_STREAM_ORIGIN_FINDER_H_
@@ -55,8 +53,8 @@
         auto const question =
             origin_question{request.resumed_request.value_or(base::caller_request_id{}), service};
         auto found = this->find_here(question);
-        if (!found.software && found.source == origin_source::registry_unavailable) {
-            found = this->find_elsewhere(question);
+        if (!found.software) {
+            found = this->find_elsewhere(question, found);
         }
         this->host.metrics.count_origin(found.source, found.software.has_value());
         this->host.log.write(
@@ -70,9 +68,18 @@
         return found.software;
     }
 
-    // Answers another host, which has no answer of the registry.
-    auto find_for_host(origin_question const& question) -> std::optional<base::software_version> {
-        return this->find_here(question).software;
+    // Answers another host.
+    auto find_for_host(origin_question const& question) -> origin_answer {
+        auto answer = origin_answer{};
+        answer.sole_version = this->view_version(question.service);
+        if (question.memory_only) {
+            answer.software = this->host.view.origins.find(question.request);
+            return answer;
+        }
+        auto const found = this->find_here(question);
+        answer.software = found.software;
+        answer.registry_answered = found.source != origin_source::registry_unavailable;
+        return answer;
     }
 
 private:
@@ -99,49 +106,53 @@
         return this->infer(question.service);
     }
 
-    // Returns the only version of the service's upstreams, if changes that this host may not have
-    // read yet bring no other one.
+    // Returns the only version that this host has known for as long as a stream can be resumed.
+    [[nodiscard]] auto view_version(base::service_id const& service) const
+        -> std::optional<base::software_version> {
+        return this->host.view.service(service).versions.certain_version(
+            base::monotonic_clock::now());
+    }
+
+    // Returns the only version of the service's upstreams, if changes that this host has not read
+    // yet can't bring another one.
     auto infer(base::service_id const& service) -> finding {
-        auto const changes = this->read_changes();
+        auto& view = this->host.view;
+        auto const changes = this->registry.read_changes(
+            view.feed.position(), base::monotonic_clock::now() + lookup_timeout);
         auto const* const failure = base::failure_of(changes);
-        if (failure != nullptr && *failure != registry_failure::history_lost) {
-            return {std::nullopt, origin_source::registry_unavailable};
+        if (failure != nullptr) {
+            // Lost changes may have brought any version.
+            return {std::nullopt, *failure == registry_failure::history_lost
+                                      ? origin_source::no_record
+                                      : origin_source::registry_unavailable};
         }
-        auto inferred = this->host.view.service(service).versions.version_without_record(
-            base::monotonic_clock::now());
-        auto const contradicts = [&](routing::upstream_record const& record) {
+        auto inferred =
+            view.service(service).versions.version_without_record(base::monotonic_clock::now());
+        auto const& unread = base::value_of(changes);
+        auto const is_other = [&](routing::upstream_record const& record) {
             return record.service == service && record.software != inferred;
         };
-        if (failure != nullptr || std::ranges::any_of(base::value_of(changes), contradicts)) {
+        auto const came_and_left = [&](base::upstream_id const& id) {
+            return view.upstreams.find(id) == nullptr;
+        };
+        if (std::ranges::any_of(unread.put, is_other) ||
+            std::ranges::any_of(unread.removed, came_and_left)) {
             inferred.reset();
         }
         return {inferred, origin_source::no_record};
     }
 
-    // Returns the records that changed after the newest change that this host has read.
-    auto read_changes() -> base::result<std::vector<routing::upstream_record>, registry_failure> {
-        auto const deadline = base::monotonic_clock::now() + lookup_timeout;
-        auto changes = this->registry.read_changes(this->host.view.feed.position(), deadline);
-        if (base::succeeded(changes)) {
-            return base::take_value(std::move(changes)).put;
-        }
-        if (*base::failure_of(changes) != registry_failure::history_lost) {
-            return *base::failure_of(changes);
-        }
-        auto listing = this->registry.list_upstreams(deadline);
-        if (auto const* const failure = base::failure_of(listing)) {
-            return *failure;
-        }
-        return base::take_value(std::move(listing)).records;
-    }
-
-    // Asks other hosts at the same time.
-    auto find_elsewhere(origin_question const& question) -> finding {
+    // Asks other hosts, at the same time, after `own` gave no version.
+    auto find_elsewhere(origin_question question, finding const& own) -> finding {
         struct answers {
-            std::optional<base::software_version> software;
-            std::size_t answered = 0;
+            std::vector<origin_answer> received;
             std::size_t ended = 0;
         };
+        auto const registry_answered = own.source != origin_source::registry_unavailable;
+        if (registry_answered && !stream_origins::is_recordable(question.request)) {
+            return own;
+        }
+        question.memory_only = registry_answered;
         auto const asked = this->hosts_to_ask();
         auto const deadline = base::monotonic_clock::now() + peer_timeout;
         auto const results = std::make_shared<answers>();
@@ -150,37 +161,62 @@
                 auto const fetched = runtime::fetch(*each.peers, make_origin_request(question),
                                                     runtime::connection_use::pooled, deadline);
                 auto const* const response = std::get_if<runtime::http_response>(&fetched);
-                ++results->ended;
-                if (response != nullptr && response->status == 200) {
-                    ++results->answered;
-                    auto software = decode_origin(response->body);
-                    results->software = software ? software : results->software;
+                auto answer = response != nullptr && response->status == 200
+                                  ? decode_origin_answer(response->body)
+                                  : std::nullopt;
+                if (answer) {
+                    results->received.push_back(*std::move(answer));
                 }
+                ++results->ended;
             });
         }
-        while (!results->software && results->ended < asked.size() &&
+        auto const is_known = [&] {
+            return std::ranges::any_of(results->received,
+                                       [](auto const& each) { return each.software.has_value(); });
+        };
+        while (!is_known() && results->ended < asked.size() &&
                base::monotonic_clock::now() < deadline) {
             runtime::sleep_until(base::monotonic_clock::now() + peer_check_interval);
         }
-        if (results->software) {
-            return {results->software, origin_source::other_host};
+        for (auto const& each : results->received) {
+            if (each.software) {
+                return {each.software, origin_source::other_host};
+            }
         }
-        auto& view = this->host.view;
-        auto const alone = results->answered == 0 && view.known_hosts() != 1;
-        return {alone ? std::nullopt
-                      : view.service(question.service)
-                            .versions.certain_version(base::monotonic_clock::now()),
-                origin_source::registry_unavailable};
+        return registry_answered
+                   ? own
+                   : this->conclude(question.service, asked.size(), results->received);
+    }
+
+    // Returns the only version that this host knows, if most of the other hosts have no answer of
+    // the registry either and know no other version. Fewer of them may be cut off together with
+    // this one.
+    auto conclude(base::service_id const& service, std::size_t asked,
+                  std::vector<origin_answer> const& received) -> finding {
+        auto const known = this->view_version(service);
+        auto const agrees = [&](origin_answer const& each) {
+            return !each.registry_answered && each.sole_version == known;
+        };
+        auto const is_only_host = asked == 0 && this->host.view.known_hosts() == 1;
+        auto const most_answered = 2 * received.size() > asked;
+        auto const may_conclude =
+            is_only_host || (most_answered && std::ranges::all_of(received, agrees));
+        return {may_conclude ? known : std::nullopt, origin_source::registry_unavailable};
     }
 
     // Returns hosts of this data centre that may be followed, and hosts of others.
     auto hosts_to_ask() -> std::vector<host_entry> {
         auto& view = this->host.view;
         auto asked = std::vector<host_entry>{};
-        for (auto const& each : view.relays.known_hosts()) {
-            auto const other = each.host != view.relays.own_entry().host;
-            if (each.peers && other && asked.size() < max_asked) {
-                asked.push_back(each);
+        auto const usable = view.relays.order_for_followers(base::monotonic_clock::now());
+        for (auto const* const hosts : {&usable, &view.relays.known_hosts()}) {
+            for (auto const& each : *hosts) {
+                auto const is_new =
+                    each.host != view.relays.own_entry().host &&
+                    std::ranges::find(asked, each.host, &host_entry::host) == asked.end();
+                if (each.peers && is_new && asked.size() < max_asked) {
+                    asked.push_back(each);
+                }
             }
         }
         for (auto const& each : view.some_distant_readers(max_asked)) {
--- a/linnetlane/router/stream_origin_recorder.h
+++ b/linnetlane/router/stream_origin_recorder.h
@@ -24,7 +24,7 @@
     // The number of records in one write.
     static constexpr auto max_batch = std::size_t{32};
     // The rate of writes of all hosts together.
-    static constexpr auto max_writes_per_second = 400;
+    static constexpr auto max_writes_per_second = 200;
     // A record is to be written before the prefill of its stream ends.
     static constexpr auto max_write_interval = std::chrono::milliseconds{400};
     static constexpr auto write_timeout = std::chrono::milliseconds{500};
@@ -40,7 +40,7 @@
         for (;;) {
             auto const batch = this->host.view.origins.await_unrecorded(max_batch);
             auto const began = base::monotonic_clock::now();
-            if (this->write(batch)) {
+            if (batch.empty() || this->write(batch)) {
                 this->backoff.after_success();
             } else {
                 this->host.view.origins.put_back(batch);
@@ -72,6 +72,8 @@
         }
         if (failure != nullptr && *failure == registry_failure::lease_ended) {
             this->lease.reset();
+            // The records under it have ended too.
+            this->host.view.origins.record_again();
         }
         return failure == nullptr;
     }
@@ -84,6 +86,10 @@
             this->registry.era() == this->lease_era) {
             return true;
         }
+        if (this->registry.era() != this->lease_era) {
+            // The copy that the registry was restored from may lack records.
+            this->host.view.origins.record_again();
+        }
         this->lease.reset();
         auto const granted = this->registry.grant_lease(lease_ttl, now + write_timeout);
         if (base::failure_of(granted) != nullptr) {
--- a/linnetlane/router/stream_origins.cpp
+++ b/linnetlane/router/stream_origins.cpp
@@ -1,6 +1,7 @@
 #include "linnetlane/router/stream_origins.h"
 
 #include <algorithm>
+#include <iterator>
 
 #include "linnetlane/routing/version_history.h"
 
@@ -21,7 +22,8 @@
     auto const bound = place->second;
     if (first) {
         this->expiries.push_back({origin.request, now + routing::stream_lifetime});
-        this->put_back({origin});
+        this->unrecorded.push_back(origin.request);
+        this->limit_unrecorded();
     }
     return bound;
 }
@@ -47,11 +49,29 @@
 }
 
 auto stream_origins::put_back(std::vector<stream_origin> const& failed) -> void {
+    auto place = this->unrecorded.begin();
     for (auto const& each : failed) {
-        if (std::ranges::find(this->unrecorded, each.request) == this->unrecorded.end()) {
+        if (!this->is_unrecorded(each.request)) {
+            place = std::next(this->unrecorded.insert(place, each.request));
+        }
+    }
+    this->limit_unrecorded();
+}
+
+auto stream_origins::record_again() -> void {
+    for (auto const& each : this->expiries) {
+        if (!this->is_unrecorded(each.request)) {
             this->unrecorded.push_back(each.request);
         }
     }
+    this->limit_unrecorded();
+}
+
+auto stream_origins::is_unrecorded(base::caller_request_id const& request) const -> bool {
+    return std::ranges::find(this->unrecorded, request) != this->unrecorded.end();
+}
+
+auto stream_origins::limit_unrecorded() -> void {
     while (this->unrecorded.size() > max_unrecorded) {
         this->unrecorded.pop_front();
     }
--- a/linnetlane/router/stream_origins.h
+++ b/linnetlane/router/stream_origins.h
@@ -49,8 +49,10 @@
     // Waits until there are records to write and takes at most `most` of them, the oldest first.
     // Suspends the calling fiber.
     [[nodiscard]] auto await_unrecorded(std::size_t most) -> std::vector<stream_origin>;
-    // Returns records that could not be written, unless newer ones replace them.
+    // Returns records that could not be written. They are written before those that came later.
     auto put_back(std::vector<stream_origin> const& failed) -> void;
+    // Lets all records be written again, after the registry has lost some.
+    auto record_again() -> void;
 
 private:
     struct expiry {
@@ -59,6 +61,8 @@
     };
 
     auto expire(base::time_point now) -> void;
+    [[nodiscard]] auto is_unrecorded(base::caller_request_id const& request) const -> bool;
+    auto limit_unrecorded() -> void;
 
     std::map<base::caller_request_id, base::software_version> known;
     std::deque<expiry> expiries;
--- a/linnetlane/router/stream_origins_test.cpp
+++ b/linnetlane/router/stream_origins_test.cpp
@@ -46,6 +46,29 @@
     BOOST_TEST((origins.await_unrecorded(8) == std::vector{origin("r1", "v1")}));
 }
 
+// After an outage the records of the oldest streams were written last.
+BOOST_AUTO_TEST_CASE(records_that_could_not_be_written_come_before_later_ones) {
+    auto origins = stream_origins{};
+    origins.bind(origin("r1", "v1"), start);
+    origins.bind(origin("r2", "v1"), start);
+    auto const failed = origins.await_unrecorded(8);
+    origins.bind(origin("r3", "v1"), start);
+    origins.put_back(failed);
+    BOOST_TEST((origins.await_unrecorded(8) ==
+                std::vector{origin("r1", "v1"), origin("r2", "v1"), origin("r3", "v1")}));
+}
+
+// The registry's records ended with their lease, or were not in the copy that it was restored from.
+BOOST_AUTO_TEST_CASE(all_streams_can_be_recorded_again) {
+    auto origins = stream_origins{};
+    origins.bind(origin("r1", "v1"), start);
+    origins.bind(origin("r2", "v2"), start);
+    BOOST_TEST(origins.await_unrecorded(1).size() == 1U);
+    origins.record_again();
+    BOOST_TEST(
+        (origins.await_unrecorded(8) == std::vector{origin("r2", "v2"), origin("r1", "v1")}));
+}
+
 // Streams that began before a rollout had no record, and hosts that started in it refused them.
 BOOST_AUTO_TEST_CASE(every_stream_is_recorded_and_the_oldest_record_is_written_first) {
     auto origins = stream_origins{};
--- a/linnetlane/routing/version_history.cpp
+++ b/linnetlane/routing/version_history.cpp
@@ -37,6 +37,7 @@
 }
 
 auto version_history::note_missed_changes(base::time_point now) -> void {
+    this->changes_missed_at = now;
     if (this->observed_since) {
         this->observed_since = now;
     }
@@ -61,9 +62,10 @@
         return std::nullopt;
     }
     auto const& [version, one] = *found.begin();
+    auto const ran_long_enough = now - one.running_since >= stream_lifetime + registration_lag;
+    auto const missed_none = this->changes_missed_at < now - stream_lifetime;
     auto const knows_earlier_versions =
-        this->has_observed_long_enough(now) ||
-        now - one.running_since >= stream_lifetime + registration_lag;
+        this->has_observed_long_enough(now) || (ran_long_enough && missed_none);
     return knows_earlier_versions ? std::optional{version} : std::nullopt;
 }
 
--- a/linnetlane/routing/version_history.h
+++ b/linnetlane/routing/version_history.h
@@ -43,7 +43,7 @@
     [[nodiscard]] auto certain_version(base::time_point now) const
         -> std::optional<base::software_version>;
     // As `certain_version`, and also if upstreams of the only version have run for longer than a
-    // stream can be resumed.
+    // stream can be resumed, unless changes were missed within that time.
     [[nodiscard]] auto version_without_record(base::time_point now) const
         -> std::optional<base::software_version>;
 
@@ -64,6 +64,7 @@
 
     std::map<base::software_version, presence> versions;
     std::optional<base::time_point> observed_since;
+    base::time_point changes_missed_at = base::time_point::min();
 };
 
 }  // namespace linnetlane::routing
--- a/linnetlane/routing/version_history_test.cpp
+++ b/linnetlane/routing/version_history_test.cpp
@@ -63,7 +63,9 @@
     BOOST_TEST((versions.certain_version(missed) == v1));
     versions.note_missed_changes(missed);
     BOOST_TEST(!versions.certain_version(missed).has_value());
+    BOOST_TEST(!versions.version_without_record(missed).has_value());
     BOOST_TEST(!versions.certain_version(missed + stream_lifetime - 1s).has_value());
+    BOOST_TEST(!versions.version_without_record(missed + stream_lifetime - 1s).has_value());
     BOOST_TEST((versions.certain_version(missed + stream_lifetime) == v1));
 }
 
