--- a/linnetlane/router/stream_origins.cpp
+++ b/linnetlane/router/stream_origins.cpp
@@ -19,7 +19,7 @@
         return origin.software;
     }
     auto const [place, first] = this->known.try_emplace(origin.request, origin.software);
-    auto const bound = place->second;
+    auto bound = place->second;
     if (first) {
         this->expiries.push_back({origin.request, now + routing::stream_lifetime});
         this->unrecorded.push_back(origin.request);
