Generations: a stream in progress waits for a prefill that ends in time, too

Cause: the change that lets streams in progress wait for room let them join prefill queues of any length, where the prefill is given up at its deadline: 11 prompts of resumed streams, 81 thousand tokens, each refused after 0.9 s.

Change: such a stream waits for a short enough queue as it waits for memory, for the target latency together.

--- a/linnetlane/router/generation_forwarder.h
+++ b/linnetlane/router/generation_forwarder.h
@@ -148,19 +148,35 @@
     // ---- Reservation ----
 
     auto reserve() -> std::optional<decode_reservation> {
-        auto reserved = this->reserve_once();
-        if (reserved || !this->is_in_progress()) {
-            return reserved;
+        if (!this->is_in_progress()) {
+            return this->reserve_once();
         }
         auto const until =
             std::min(this->context.answer_by,
                      base::monotonic_clock::now() +
                          std::chrono::duration_cast<base::duration>(
                              this->context.route.target_latency * room_wait_share_of_target));
-        while (!reserved && this->waits_for_room(until)) {
-            reserved = this->reserve_once();
+        for (;;) {
+            auto reserved = this->reserve_if_timely();
+            if (reserved || !this->waits_for_room(until)) {
+                return reserved;
+            }
         }
-        return reserved;
+    }
+
+    // Reserves memory if a prefill can be expected to end in time. One that is given up in the
+    // queue is made for nothing.
+    auto reserve_if_timely() -> std::optional<decode_reservation> {
+        if (this->prefill_is_timely({})) {
+            return this->reserve_once();
+        }
+        this->engines_known = !this->context.state()
+                                   .generation
+                                   .decode_candidates(1, this->context.host.view.draw(),
+                                                      base::monotonic_clock::now(), this->required)
+                                   .empty();
+        this->reservation_failure = attempt_result::no_capacity;
+        return std::nullopt;
     }
 
     // Suspends the calling fiber until engines are to be asked again. Returns false if there is no
@@ -844,7 +860,7 @@
     // any.
     std::optional<base::software_version> required;
     std::size_t engines_asked = 0;
-    // The last search found engines that could be asked.
+    // There are engines that may have room now or later.
     bool engines_known = false;
     std::size_t prefills = 0;
     std::size_t decodes = 0;
