--- a/linnetlane/router/stream_origin_finder.h
+++ b/linnetlane/router/stream_origin_finder.h
@@ -7,8 +7,7 @@
 // 1. this host's memory;
 // 2. the record in the registry;
 // 3. without a record, the only version that there was for as long as a stream can be resumed, if
-// the
-//    registry shows that this host knows all changes;
+//    the registry shows that this host knows all changes;
 // 4. other hosts, which have the same sources;
 // 5. if most of these have no answer of the registry either, and know the same version only, that
 //    one. Otherwise this host may be cut off while others know a newer version.
@@ -37,7 +36,7 @@
 public:
     // A caller waits for the answer to a lookup.
     static constexpr auto lookup_timeout = std::chrono::milliseconds{400};
-    // The time for other hosts to answer, which look the record up themselves.
+    // The time for other hosts to answer. They may ask the registry themselves.
     static constexpr auto peer_timeout = std::chrono::milliseconds{500};
     static constexpr auto peer_check_interval = std::chrono::milliseconds{5};
     // The number of hosts of this data centre, and of others, that are asked.
@@ -188,9 +187,9 @@
                    : this->conclude(question.service, asked.size(), results->received);
     }
 
-    // Returns the only version that this host knows, if most of the other hosts have no answer of
-    // the registry either and know no other version. Fewer of them may be cut off together with
-    // this one.
+    // Returns the only version that this host knows, if most of the hosts that were asked have no
+    // answer of the registry either and know no other version. Fewer may be cut off together with
+    // this host.
     auto conclude(base::service_id const& service, std::size_t asked,
                   std::vector<origin_answer> const& received) -> finding {
         auto const known = this->view_version(service);
