Generations: the prefill of a stream in progress may take twice as long

Cause: the timeout is that of new prompts, whose target can still be met. Hosts that have just started don't know of each other's prompts.

Change: a stream in progress, whose target is missed in any case, has twice that time.

--- a/linnetlane/router/generation_forwarder.h
+++ b/linnetlane/router/generation_forwarder.h
@@ -469,15 +469,21 @@
         return true;
     }
 
+    // The target of a stream in progress is missed in any case. After the loss of many hosts, such
+    // streams come at the same moment, and their prompts queue behind each other.
+    [[nodiscard]] auto prefill_timeout() const -> base::duration {
+        auto const usual =
+            std::max<base::duration>(min_prefill_timeout, this->context.route.target_latency);
+        return this->is_in_progress() ? 2 * usual : usual;
+    }
+
     // Takes the record by value, since the registry may drop it during the prefill.
     auto prefill_at(routing::upstream_record engine) -> std::optional<prefill_location> {
         auto& pool = this->context.state().generation;
         auto const now = base::monotonic_clock::now();
         auto const ahead = pool.tokens_under_way(engine.id, now);
         pool.begin(engine.id, this->prompt());
-        auto const timeout =
-            std::max<base::duration>(min_prefill_timeout, this->context.route.target_latency);
-        auto const deadline = std::min(this->context.answer_by, now + timeout);
+        auto const deadline = std::min(this->context.answer_by, now + this->prefill_timeout());
         this->context.note_request_to(engine.id);
         // The engine drops the prompt if it hasn't begun by the deadline.
         auto const options = send_options{engine.id, deadline - now};
