Routes: a request is refused as having none only with proof that the configuration is the newest

Cause: `serve` concluded from the configuration in force, whatever its age, that there was no route: a conclusion from the absence of news. Whatever delays a change, such as a lost answer of the registry, a followed host that is lost or a restart of most hosts, turned into a refusal for good. Ruled out: shorter waits for changes alone, which narrow the time and cost calls in a steady service.

Change: without a proof that the configuration was the newest one within `applied_within`, the host asks for one: the registry, if it reads it, otherwise the host that it follows (a new message between hosts). A newer configuration is put in force and serves the request; without an answer within 0.4 s the request is refused as not run (503). At most one question is under way, and one that gave no proof is repeated after 0.4 s only.

--- a/linnetlane/protocol/router.thrift
+++ b/linnetlane/protocol/router.thrift
@@ -223,6 +223,13 @@
     3: optional string sole_version,
 }
 
+// The configuration in force at a host, in answer to a request without a body.
+struct configuration_state {
+    1: i64 configuration_version,
+    // The time since it was known to be the newest one. Left out if it never was.
+    2: optional i64 age,
+}
+
 // Requests a part of a client account's quota from the host that keeps it for the sender, or gives
 // back what wasn't used.
 struct quota_question {
--- a/linnetlane/router/host.h
+++ b/linnetlane/router/host.h
@@ -16,6 +16,7 @@
 
 #include "linnetlane/router/account_activity.h"
 #include "linnetlane/router/account_page.h"
+#include "linnetlane/router/configuration_confirmer.h"
 #include "linnetlane/router/fact_publisher.h"
 #include "linnetlane/router/generation_forwarder.h"
 #include "linnetlane/router/host_membership.h"
@@ -47,6 +48,8 @@
     static constexpr auto drain_check_interval = std::chrono::milliseconds{100};
     // The retry delay of refusals before a route is known, such as before the first configuration.
     static constexpr auto configuration_wait = std::chrono::milliseconds{400};
+    // How long a request without a route waits for a proof that no newer configuration has one.
+    static constexpr auto confirmation_wait = std::chrono::milliseconds{400};
 
     router_host(runtime::worker_pool& own_pool, router_settings own_settings, Registry own_registry,
                 telemetry::event_log const& own_log, std::uint32_t seed)
@@ -60,6 +63,7 @@
                              this->apply_limits(applied.limits);
                              this->activity.retain(applied.accounts);
                          }},
+          confirmer{this->host, this->configurations},
           upstreams{this->registry, this->host,
                     [this](auto const& offered) { this->configurations.offer(offered); }},
           membership{this->registry, this->host},
@@ -177,6 +181,9 @@
             this->serve_quota(request, responder);
         } else if (request.target == origins_target) {
             this->serve_origin(request, responder);
+        } else if (request.target == configuration_target) {
+            // If the peer has disconnected, it asks again.
+            static_cast<void>(responder.send({200, {}, encode(this->confirmer.state_for_host())}));
         } else {
             this->serve_follower(request, responder);
         }
@@ -321,7 +328,6 @@
     // Serves a request of a caller, or one that another host sent on.
     auto serve(caller_request caller, runtime::http_responder& responder, bool from_peer) -> void {
         auto const arrived = base::monotonic_clock::now();
-        auto const configuration = this->view.routes.current();
         auto const refuse_unrouted = [&](refusal_reason reason) {
             this->refuse_unrouted(caller, responder, reason, arrived, from_peer);
         };
@@ -333,9 +339,14 @@
             refuse_unrouted(refusal_reason::leaving);
             return;
         }
+        auto const is_confirmed =
+            this->has_route(caller) || this->confirms_no_route(caller, arrived);
+        // A newer configuration may have come meanwhile.
+        auto const configuration = this->view.routes.current();
         auto const* const route = this->view.routes.match(caller.host, caller.forwarded.target);
         if (route == nullptr) {
-            refuse_unrouted(refusal_reason::no_route);
+            refuse_unrouted(is_confirmed ? refusal_reason::no_route
+                                         : refusal_reason::route_unconfirmed);
             return;
         }
         if (auto const refused = authenticate<Wire>(
@@ -385,6 +396,18 @@
         responder.on_client_disconnect([] {});
     }
 
+    [[nodiscard]] auto has_route(caller_request const& caller) const -> bool {
+        return this->view.routes.match(caller.host, caller.forwarded.target) != nullptr;
+    }
+
+    // Returns whether no newer configuration can have a route for the request. Suspends the calling
+    // fiber.
+    auto confirms_no_route(caller_request const& caller, base::time_point arrived) -> bool {
+        auto const wait =
+            std::min<base::duration>(confirmation_wait, caller.timeout.value_or(confirmation_wait));
+        return this->confirmer.is_current(this->settings.changes.applied_within, arrived + wait);
+    }
+
     auto forward(request_context const& context) -> void {
         if (!context.from_peer) {
             // Each request counts once, at the host that received it.
@@ -514,6 +537,8 @@
                 return "refused: account exceeds its quota";
             case refusal_reason::older_configuration:
                 return "refused: the sending host has a newer configuration";
+            case refusal_reason::route_unconfirmed:
+                return "refused: a newer configuration may have a route";
             case refusal_reason::leaving:
                 break;
         }
@@ -558,6 +583,7 @@
     router_metrics metrics;
     host_context host;
     configuration_follower<Registry> configurations;
+    configuration_confirmer<Registry> confirmer;
     upstream_follower<Registry> upstreams;
     host_membership<Registry, Wire> membership;
     stream_origin_recorder<Registry> recorder;
--- a/linnetlane/router/messages.h
+++ b/linnetlane/router/messages.h
@@ -90,6 +90,8 @@
     quota_exceeded,
     // Another host sent the request on and has a newer configuration than this one.
     older_configuration,
+    // No route matches, but a newer configuration, which this host may lack, may have one.
+    route_unconfirmed,
 };
 
 // Returns whether a request that is refused for `reason` certainly hasn't run and never will.
@@ -346,6 +348,11 @@
     {
         registry.await_configuration(position, wait, deadline)
         } -> std::same_as<base::result<configuration_reading, registry_failure>>;
+    // As `await_configuration`, for a configuration that there is at the time of the call.
+    // `interrupt_waits` doesn't end the call.
+    {
+        registry.read_newer_configuration(position, deadline)
+        } -> std::same_as<base::result<configuration_reading, registry_failure>>;
     {
         registry.list_upstreams(deadline)
         } -> std::same_as<base::result<upstream_listing, registry_failure>>;
--- a/linnetlane/router/peer_codec.cpp
+++ b/linnetlane/router/peer_codec.cpp
@@ -560,6 +560,32 @@
     return answer;
 }
 
+auto make_configuration_request() -> runtime::http_request {
+    return runtime::http_request{"POST", std::string{configuration_target}, {}, {}};
+}
+
+auto encode(configuration_state const& state) -> std::string {
+    auto out = peer_wire::configuration_state{};
+    out.__set_configuration_version(static_cast<std::int64_t>(state.version.value));
+    if (state.age) {
+        out.__set_age(microseconds_of(*state.age));
+    }
+    return protocol::write_compact(out);
+}
+
+auto decode_configuration_state(std::string_view text) -> std::optional<configuration_state> {
+    auto const in = read<peer_wire::configuration_state>(text);
+    if (!in || !in->__isset.configuration_version || (in->__isset.age && in->age < 0)) {
+        return std::nullopt;
+    }
+    auto state = configuration_state{};
+    state.version.value = static_cast<std::uint64_t>(in->configuration_version);
+    if (in->__isset.age) {
+        state.age = span(in->age);
+    }
+    return state;
+}
+
 auto encode(changes_question const& question) -> std::string {
     auto out = peer_wire::changes_question{};
     out.__set_after(static_cast<std::int64_t>(question.after.value));
--- a/linnetlane/router/peer_codec.h
+++ b/linnetlane/router/peer_codec.h
@@ -144,6 +144,16 @@
     friend auto operator==(quota_answer const&, quota_answer const&) -> bool = default;
 };
 
+// The configuration in force at a host.
+struct configuration_state {
+    routing::configuration_version version;
+    // The time since it was known to be the newest one; nothing if it never was.
+    std::optional<base::duration> age;
+
+    friend auto operator==(configuration_state const&, configuration_state const&)
+        -> bool = default;
+};
+
 // The targets of requests between hosts.
 inline constexpr auto changes_target = std::string_view{"/upstream-changes"};
 inline constexpr auto forward_target = std::string_view{"/forwarded-requests"};
@@ -152,6 +162,7 @@
 inline constexpr auto quota_target = std::string_view{"/account-quotas"};
 inline constexpr auto facts_target = std::string_view{"/facts"};
 inline constexpr auto origins_target = std::string_view{"/stream-origins"};
+inline constexpr auto configuration_target = std::string_view{"/configuration-state"};
 
 [[nodiscard]] auto make_changes_request(changes_question const& question) -> runtime::http_request;
 [[nodiscard]] auto make_forward_request(forwarded_request const& forwarded)
@@ -183,6 +194,12 @@
 // Returns nothing if `text` is malformed or the answer of a host that doesn't know the question.
 [[nodiscard]] auto decode_origin_answer(std::string_view text) -> std::optional<origin_answer>;
 
+[[nodiscard]] auto make_configuration_request() -> runtime::http_request;
+[[nodiscard]] auto encode(configuration_state const& state) -> std::string;
+// Returns nothing if `text` is malformed.
+[[nodiscard]] auto decode_configuration_state(std::string_view text)
+    -> std::optional<configuration_state>;
+
 [[nodiscard]] auto encode(changes_question const& question) -> std::string;
 [[nodiscard]] auto encode(changes_answer const& answer) -> std::string;
 
--- a/linnetlane/router/peers_test.cpp
+++ b/linnetlane/router/peers_test.cpp
@@ -598,6 +598,18 @@
     BOOST_TEST(decode_forwarded(make_forward_request(message).body)->software->value == "v2");
 }
 
+BOOST_AUTO_TEST_CASE(the_state_of_a_configuration_survives_the_wire) {
+    for (auto const& state :
+         {configuration_state{}, configuration_state{{7}, std::chrono::milliseconds{1500}},
+          configuration_state{{7}, base::duration{}}}) {
+        BOOST_TEST((decode_configuration_state(encode(state)) == state));
+    }
+    BOOST_TEST(!decode_configuration_state("").has_value());
+    BOOST_TEST(!decode_configuration_state("x").has_value());
+    auto older = configuration_state{{7}, std::chrono::milliseconds{-1}};
+    BOOST_TEST(!decode_configuration_state(encode(older)).has_value());
+}
+
 BOOST_AUTO_TEST_CASE(questions_for_the_origin_of_a_stream_survive_the_wire) {
     auto const named = origin_question{base::caller_request_id{"r1"}, base::service_id{"llm"}};
     auto const unnamed = origin_question{{}, base::service_id{"llm"}, true};
--- a/linnetlane/router/registry_follower.h
+++ b/linnetlane/router/registry_follower.h
@@ -159,45 +159,53 @@
 
     // Follows the configuration. Never returns.
     [[noreturn]] auto run() -> void {
-        auto position = std::optional<registry_position>{};
         for (;;) {
             if (this->wait_while_relayed()) {
-                position.reset();
+                this->position.reset();
             }
             auto const now = base::monotonic_clock::now();
             auto const asked_at = base::boot_clock::now();
             auto const wait = this->longest_wait();
-            if (!position) {
+            auto const after = this->position;
+            if (!after) {
                 // Only a configuration that the read returns counts.
                 this->shows_in_force = false;
             }
-            auto const deadline = now + (position ? wait + follower_timing::timeout_margin
-                                                  : base::duration{follower_timing::read_timeout});
-            auto const reading = position
-                                     ? this->registry.await_configuration(*position, wait, deadline)
-                                     : this->registry.read_configuration(deadline);
+            auto const deadline = now + (after ? wait + follower_timing::timeout_margin
+                                               : base::duration{follower_timing::read_timeout});
+            auto const reading = after ? this->registry.await_configuration(*after, wait, deadline)
+                                       : this->registry.read_configuration(deadline);
             auto const* const failure = base::failure_of(reading);
             auto const wait_timed_out =
-                failure != nullptr && position && base::monotonic_clock::now() >= deadline;
+                failure != nullptr && after && base::monotonic_clock::now() >= deadline;
             if (!wait_timed_out) {
                 // Otherwise only this answer may be lost, and the full read that follows decides.
                 this->host.view.feed.set_reads_configuration(failure == nullptr);
             }
             if (failure != nullptr) {
-                this->after_failure(*failure, position.has_value());
-                position.reset();
+                this->after_failure(*failure, after.has_value());
+                this->position.reset();
                 continue;
             }
             this->outages.succeeded();
             this->backoff.after_success();
-            position = base::value_of(reading).position;
-            for (auto const& path : base::value_of(reading).skipped) {
-                this->host.log.write(telemetry::log_level::warning,
-                                     "a part of the configuration can't be read",
-                                     {telemetry::field::named("path", base::document_path{path})});
-            }
-            this->offer(base::value_of(reading).configuration);
-            this->note_freshness(base::value_of(reading), asked_at);
+            this->position = base::value_of(reading).position;
+            this->apply(base::value_of(reading), asked_at);
+        }
+    }
+
+    // Asks the registry at once for a newer configuration and applies it, beside the wait for one.
+    // Has no effect while the registry has not yet shown the configuration in force to this
+    // process. Suspends the calling fiber, at most until `deadline`.
+    auto read_newer(base::time_point deadline) -> void {
+        if (!this->position || !this->shows_in_force) {
+            return;
+        }
+        auto const asked_at = base::boot_clock::now();
+        auto const reading = this->registry.read_newer_configuration(*this->position, deadline);
+        // A failure changes nothing: the wait under way shows whether the registry is available.
+        if (base::failure_of(reading) == nullptr) {
+            this->apply(base::value_of(reading), asked_at);
         }
     }
 
@@ -219,6 +227,18 @@
     }
 
 private:
+    // Applies an answer of the registry to a question at `asked_at`.
+    auto apply(configuration_reading const& reading,
+               routing::configuration_freshness::time_point asked_at) -> void {
+        for (auto const& path : reading.skipped) {
+            this->host.log.write(telemetry::log_level::warning,
+                                 "a part of the configuration can't be read",
+                                 {telemetry::field::named("path", base::document_path{path})});
+        }
+        this->offer(reading.configuration);
+        this->note_freshness(reading, asked_at);
+    }
+
     // Returns how long to wait for a newer configuration. The end of a wait without one proves that
     // the configuration is the newest.
     [[nodiscard]] auto longest_wait() const -> base::duration {
@@ -287,6 +307,8 @@
     outage_reporter outages;
     retry_backoff backoff;
     registry_era known_era;
+    // The position of the last answer of the registry; nothing if a full read is needed.
+    std::optional<registry_position> position;
     // The last configuration that the registry showed is the one in force.
     bool shows_in_force = false;
 };
--- a/linnetlane/router/router_metrics.cpp
+++ b/linnetlane/router/router_metrics.cpp
@@ -119,6 +119,8 @@
             return "configuration_too_old";
         case refusal_reason::older_configuration:
             return "older_configuration";
+        case refusal_reason::route_unconfirmed:
+            return "route_unconfirmed";
         case refusal_reason::quota_exceeded:
             return "quota_exceeded";
         case refusal_reason::leaving:
