Configuration: an answer that was overtaken proves nothing

A host asks the registry for a newer configuration beside its wait for one, and the answers may arrive in another order. An overtaken answer was judged as if it were the newest: after two versions in quick succession the host never had a proof again (503 for every unknown route), and after an unreadable entry it took an older answer for a proof for good (404).

Change: an answer counts only if nothing was read since it was asked for.

--- a/linnetlane/router/registry_follower.h
+++ b/linnetlane/router/registry_follower.h
@@ -202,9 +202,11 @@
             return;
         }
         auto const asked_at = base::boot_clock::now();
-        auto const reading = this->registry.read_newer_configuration(*this->position, deadline);
+        auto const asked_after = this->position;
+        auto const reading = this->registry.read_newer_configuration(*asked_after, deadline);
         // A failure changes nothing: the wait under way shows whether the registry is available.
-        if (base::failure_of(reading) == nullptr) {
+        // An answer that was overtaken by that of the wait may show an older configuration.
+        if (base::failure_of(reading) == nullptr && this->position == asked_after) {
             this->apply(base::value_of(reading), asked_at);
         }
     }
