Configuration: what was newest at another host proves nothing for another version

A followed host states for how long its configuration has been known to be the newest one; its followers took that as a proof for their own, whatever its version. After the registry was restored from an older copy a follower that stayed up has a later version than the one in force, which may lack its routes: it answered 404, and 401, by a proof that was another version's.

Change: the answer states the version too, and the proof counts for an equal one.

--- a/linnetlane/protocol/router.thrift
+++ b/linnetlane/protocol/router.thrift
@@ -180,6 +180,8 @@
     12: optional i64 configuration_age,
     // Some hosts of other data centres that read the registry.
     13: optional list<host> distant_readers,
+    // The version of that configuration. Older senders don't state it.
+    14: optional i64 configuration_version,
 }
 
 struct header_field {
--- a/linnetlane/router/configuration_confirmer.h
+++ b/linnetlane/router/configuration_confirmer.h
@@ -107,7 +107,9 @@
             return;
         }
         this->newest_known = std::max(this->newest_known, state->version);
-        if (state->age && !this->is_behind()) {
+        // What was newest there proves nothing for another version.
+        auto const current = this->host.view.routes.current();
+        if (state->age && current != nullptr && current->version == state->version) {
             this->host.view.freshness.note_newest(asked_at - *state->age);
         }
     }
--- a/linnetlane/router/host.h
+++ b/linnetlane/router/host.h
@@ -322,6 +322,9 @@
         constexpr auto most_distant_readers = std::size_t{4};
         update.distant_readers = this->view.some_distant_readers(most_distant_readers);
         update.configuration_age = this->view.freshness.age(base::boot_clock::now());
+        if (auto const current = this->view.routes.current()) {
+            update.configuration_version = current->version;
+        }
         return update;
     }
 
--- a/linnetlane/router/peer_codec.cpp
+++ b/linnetlane/router/peer_codec.cpp
@@ -226,6 +226,10 @@
     if (update.configuration_age) {
         out.__set_configuration_age(microseconds_of(*update.configuration_age));
     }
+    if (update.configuration_version) {
+        out.__set_configuration_version(
+            static_cast<std::int64_t>(update.configuration_version->value));
+    }
     return out;
 }
 
@@ -687,6 +691,10 @@
     if (in->__isset.configuration_age && in->configuration_age >= 0) {
         update.configuration_age = span(in->configuration_age);
     }
+    if (in->__isset.configuration_version) {
+        update.configuration_version =
+            routing::configuration_version{static_cast<std::uint64_t>(in->configuration_version)};
+    }
     return update;
 }
 
--- a/linnetlane/router/peer_codec.h
+++ b/linnetlane/router/peer_codec.h
@@ -82,6 +82,8 @@
     std::optional<fact_mark> facts_at = std::nullopt;
     // The time since the answering host's configuration was known to be the newest one, if it was.
     std::optional<base::duration> configuration_age = std::nullopt;
+    // The version of that configuration. Older hosts don't state it.
+    std::optional<routing::configuration_version> configuration_version = std::nullopt;
     // Some hosts of other data centres that read the registry. Their entries state no data centre.
     std::vector<host_entry> distant_readers = {};
 };
--- a/linnetlane/router/registry_follower.h
+++ b/linnetlane/router/registry_follower.h
@@ -542,7 +542,12 @@
             view.note_hosts(update.hosts, base::monotonic_clock::now());
         }
         this->on_configuration(update.configuration);
-        if (update.configuration_age) {
+        // Older hosts state an age without the version.
+        auto const current = view.routes.current();
+        auto const is_same = current != nullptr &&
+                             update.configuration_version.value_or(current->version) ==
+                                 current->version;
+        if (update.configuration_age && is_same) {
             view.freshness.note_newest(asked_at - *update.configuration_age);
         }
         view.note_upstreams_current(asked_at);
