Accounts: a missing key is refused for good only with proof that keys are required

Found by the review, the same class as the route that was called unknown: a request without a key got 401 from a configuration of any age, though a newer one may require no keys or open the route to all.

Change: as for an unknown key, 401 needs a proof within `current_within`; otherwise the request is refused as not run (503). a_missing_key_is_not_refused_for_good_by_an_older_configuration got 401 before.

--- a/linnetlane/router/request_authentication.h
+++ b/linnetlane/router/request_authentication.h
@@ -68,8 +68,7 @@
     if (account == nullptr) {
         auto const is_current =
             freshness.is_within(settings.current_within, base::boot_clock::now());
-        return !request.key || is_current ? refusal_reason::unknown_key
-                                          : refusal_reason::configuration_too_old;
+        return is_current ? refusal_reason::unknown_key : refusal_reason::configuration_too_old;
     }
     return freshness_refusal(settings, configuration, route, freshness);
 }
