HTTP server: a connection that was idle takes its next request with the limits of now

Found by the review: the limits were read before the wait for the next request. After the operator had raised the limit of bodies, idle connections refused the first larger one (413) by the older configuration.

Change: they are read again when the request begins to arrive.

--- a/linnetlane/runtime/http_server.cpp
+++ b/linnetlane/runtime/http_server.cpp
@@ -469,7 +469,12 @@
         while (connection.keep_alive && !connection.gone) {
             connection.limits = this->current_limits();
             auto parser = request_parser{};
-            if (!connection.await_request() || !connection.read_request(parser)) {
+            if (!connection.await_request()) {
+                return;
+            }
+            // They may have changed while the connection was idle.
+            connection.limits = this->current_limits();
+            if (!connection.read_request(parser)) {
                 return;
             }
             ++this->requests;
