HTTP server: closing idle connections spares those on which a request arrives

Callers saw: a stopping host closed the connection while the body of their request was on its way, or with the request unread.

Cause: `close_idle` took a connection for idle if no handler ran and its buffer was empty. The parser empties the buffer while a body arrives, and bytes that the connection's fiber has not seen yet are not in it. If such bytes had been read already, the handler ran on a closed connection.

Only a wait for the first byte of a request counts as idle now, and it is cancelled instead of closing the socket, so that a read which has completed keeps its bytes. `requests_arriving` counts what has begun to arrive.

--- a/linnetlane/runtime/http.h
+++ b/linnetlane/runtime/http.h
@@ -186,13 +186,15 @@
 
     // The address with the port in use.
     [[nodiscard]] auto address() const -> base::endpoint;
+    // Requests that have begun to arrive and whose handlers have not been called.
+    [[nodiscard]] auto requests_arriving() const -> std::size_t;
     // Requests whose handlers have not returned.
     [[nodiscard]] auto requests_under_way() const -> std::size_t;
     // Replaces the limits; a connection applies them from its next request on.
     auto set_limits(http_limits const& limits) -> void;
     // From now on, closes each connection after the response to its current request.
     auto close_after_responses() -> void;
-    // Closes the connections that have no current request.
+    // Closes the connections on which no request has begun to arrive.
     auto close_idle() -> void;
     // Stops accepting connections; requests on open connections are still served.
     auto stop_accepting() -> void;
--- a/linnetlane/runtime/http_server.cpp
+++ b/linnetlane/runtime/http_server.cpp
@@ -88,6 +88,8 @@
     asio::steady_timer recheck;
     std::function<void()> disconnect_notice;
     bool gone = false;
+    // No byte of the next request has been read.
+    bool awaiting = false;
     bool serving = false;
     bool watching = false;
     bool answered = false;
@@ -276,14 +278,24 @@
             return true;
         }
         this->stream.expires_at(base::monotonic_clock::now() + this->limits.idle);
+        this->awaiting = true;
         auto const read = internal::await_io([this](auto handler) {
             this->stream.async_read_some(this->buffer.prepare(this->limits.header_bytes),
                                          std::move(handler));
         });
+        this->awaiting = false;
         this->buffer.commit(read.bytes);
         return !read.error;
     }
 
+    // Ends the wait for a request, unless one has begun to arrive. Bytes that the fiber hasn't seen
+    // yet may be unread, or read by an operation that can't be cancelled any more.
+    auto close_if_idle() -> void {
+        if (this->awaiting && this->stream.quiet()) {
+            this->stream.cancel();
+        }
+    }
+
     auto read_request(request_parser& parser) -> bool {
         parser.header_limit(static_cast<std::uint32_t>(this->limits.header_bytes));
         parser.body_limit(this->limits.body_bytes);
@@ -385,6 +397,7 @@
     asio::ip::tcp::acceptor acceptor;
     base::endpoint bound;
     std::atomic<std::size_t> connections = 0;
+    std::atomic<std::size_t> arriving = 0;
     std::atomic<std::size_t> requests = 0;
     std::atomic<std::size_t> turn = 0;
     std::atomic<bool> accepting = true;
@@ -444,11 +457,8 @@
     auto close_idle() -> void {
         auto const lock = std::lock_guard{this->mutex};
         for (auto const& connection : this->open) {
-            boost::asio::post(connection->stream.get_executor(), [connection] {
-                if (!connection->serving && connection->buffer.size() == 0) {
-                    connection->stream.close();
-                }
-            });
+            boost::asio::post(connection->stream.get_executor(),
+                              [connection] { connection->close_if_idle(); });
         }
     }
 
@@ -469,14 +479,22 @@
         while (connection.keep_alive && !connection.gone) {
             connection.limits = this->current_limits();
             auto parser = request_parser{};
-            if (!connection.await_request() || !connection.read_request(parser)) {
+            if (!connection.await_request() || !this->read_request(connection, parser)) {
                 return;
             }
-            ++this->requests;
             connection.serve_one(this->handler, parser.get());
             --this->requests;
         }
     }
+
+    // Counts a complete request before it no longer counts as arriving.
+    auto read_request(http_responder::state& connection, request_parser& parser) -> bool {
+        ++this->arriving;
+        auto const is_complete = connection.read_request(parser);
+        this->requests += is_complete ? 1 : 0;
+        --this->arriving;
+        return is_complete;
+    }
 };
 
 http_server::http_server(worker_pool& pool, base::endpoint const& address, http_limits limits,
@@ -494,6 +512,10 @@
     return this->shared->bound;
 }
 
+auto http_server::requests_arriving() const -> std::size_t {
+    return this->shared->arriving;
+}
+
 auto http_server::requests_under_way() const -> std::size_t {
     return this->shared->requests;
 }
--- a/linnetlane/runtime/http_test.cpp
+++ b/linnetlane/runtime/http_test.cpp
@@ -844,5 +844,81 @@
     BOOST_TEST(served == 0);
 }
 
+// ---- Connections that are closed between two requests ----
+
+// A server, and a connection to its first worker that has carried a request.
+struct kept_connection : fixture {
+    std::atomic<int> served = 0;
+    http_server server{this->pool, loopback, {}, [this](http_request const&, auto& responder) {
+                           ++this->served;
+                           responder.send({});
+                       }};
+    boost::asio::io_context context;
+    boost::asio::ip::tcp::socket connection{this->context};
+
+    kept_connection() {
+        this->connection.connect(
+            {boost::asio::ip::make_address("127.0.0.1"), this->server.address().port});
+        this->send("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+        auto received = std::string{};
+        boost::asio::read_until(this->connection, boost::asio::dynamic_buffer(received),
+                                "\r\n\r\n");
+    }
+
+    auto send(std::string const& bytes) -> void {
+        boost::asio::write(this->connection, boost::asio::buffer(bytes));
+    }
+    // Returns what is received until the connection ends.
+    auto receive_all() -> std::string {
+        auto received = std::string{};
+        auto error = boost::system::error_code{};
+        boost::asio::read(this->connection, boost::asio::dynamic_buffer(received), error);
+        return received;
+    }
+};
+
+BOOST_FIXTURE_TEST_CASE(a_connection_without_a_request_is_closed, kept_connection) {
+    this->server.close_idle();
+    BOOST_TEST(this->receive_all().empty());
+}
+
+// The connection was closed while the body was on its way.
+BOOST_FIXTURE_TEST_CASE(a_connection_whose_request_has_begun_to_arrive_is_not_closed_as_idle,
+                        kept_connection) {
+    this->server.close_after_responses();
+    this->send("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nbo");
+    while (this->server.requests_arriving() == 0) {
+        std::this_thread::sleep_for(1ms);
+    }
+    this->server.close_idle();
+    // The worker closes idle connections before it runs this.
+    auto closed = std::promise<void>{};
+    this->pool.spawn_on(worker_index{0}, [&] { closed.set_value(); });
+    closed.get_future().wait();
+    this->send("dy");
+    BOOST_TEST(this->receive_all().starts_with("HTTP/1.1 200 "));
+    BOOST_TEST(this->server.requests_arriving() == 0U);
+}
+
+// The connection was closed with the request unread, or read and without an answer.
+BOOST_FIXTURE_TEST_CASE(a_connection_with_an_unread_request_is_not_closed_as_idle,
+                        kept_connection) {
+    this->server.close_after_responses();
+    auto blocked = std::promise<void>{};
+    auto sent = std::promise<void>{};
+    // Keeps the server's worker from reading.
+    this->pool.spawn_on(worker_index{0}, [&] {
+        blocked.set_value();
+        sent.get_future().wait();
+        this->server.close_idle();
+    });
+    blocked.get_future().wait();
+    this->send("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+    std::this_thread::sleep_for(50ms);
+    sent.set_value();
+    BOOST_TEST(this->receive_all().starts_with("HTTP/1.1 200 "));
+    BOOST_TEST(this->served == 2);
+}
+
 }  // namespace
 }  // namespace linnetlane::runtime
--- a/linnetlane/runtime/internal/byte_stream.h
+++ b/linnetlane/runtime/internal/byte_stream.h
@@ -48,6 +48,8 @@
     // Whether the connection ends with a reset, however it ends. The other side then can't take
     // what it has received for all there is.
     auto reset_on_close(bool wanted) -> void;
+    // Ends pending operations that have not transferred anything; they fail.
+    auto cancel() -> void { this->tcp.cancel(); }
     // Closes the connection immediately. Pending operations fail.
     auto close() -> void;
     // Whether the other side closed its half of the connection, even after unread bytes.
