Router: the phases of a shutdown are derived from the grace time

Callers saw, with a grace of four seconds: requests that were accepted up to 2.6 s after SIGTERM were cut off with no answer 0.6 s later.

Cause: the times to accept connections and requests were constants (2.6 s and 2.9 s), and the grace is a setting.

`make_shutdown_schedule` shortens all phases alike if the grace is below eight seconds; with eight seconds they are what they were. A longer grace goes to the requests under way.

Evidence: users_platform_planned_stop_test, one request of 1.5 s every 100 ms, failed on: planned_stop_test.cpp(356): "every_request_that_is_accepted_within_a_short_ grace_is_answered": r17 got 0 (and r18 to r25), though an upstream ran them and passes now, as do router_shutdown_schedule_test and further_signals_change_nothing_in_a_planned_stop (it also passed before).

--- a/linnetlane/router/host.h
+++ b/linnetlane/router/host.h
@@ -26,6 +26,7 @@
 #include "linnetlane/router/registry_follower.h"
 #include "linnetlane/router/request_context.h"
 #include "linnetlane/router/request_digest.h"
+#include "linnetlane/router/shutdown_schedule.h"
 #include "linnetlane/router/stream_origin_finder.h"
 #include "linnetlane/router/stream_origin_recorder.h"
 #include "linnetlane/runtime/worker_pool.h"
@@ -36,14 +37,6 @@
 template <router_registry Registry, router_wire Wire>
 class router_host {
 public:
-    // The time that the load balancer needs after SIGTERM to stop sending connections: two
-    // readiness checks, one second apart.
-    static constexpr auto balancer_drain_time = std::chrono::milliseconds{2600};
-    // New requests are accepted for this long after SIGTERM. The platform expects answers to
-    // requests that arrive within three seconds; later ones might not end within the grace time.
-    static constexpr auto accept_period = std::chrono::milliseconds{2900};
-    // The part of the grace time that is left for the exit of the process.
-    static constexpr auto exit_margin = std::chrono::milliseconds{800};
     static constexpr auto drain_check_interval = std::chrono::milliseconds{100};
     // The retry delay of refusals before a route is known, such as before the first configuration.
     static constexpr auto configuration_wait = std::chrono::milliseconds{400};
@@ -112,7 +105,8 @@
 
 private:
     auto leave(std::function<void()> const& ended) -> void {
-        auto const asked_at = base::monotonic_clock::now();
+        auto const schedule = make_shutdown_schedule(base::monotonic_clock::now(),
+                                                     this->settings.leaving.grace);
         this->log.write(telemetry::log_level::info, "shutting down",
                         {{"requests_under_way",
                           static_cast<std::int64_t>(this->callers->requests_under_way())}});
@@ -121,13 +115,13 @@
         // Followers that wait are answered at once.
         this->view.feed.set_lost_registry(true);
         this->membership.leave();
-        runtime::sleep_until(asked_at + balancer_drain_time);
+        runtime::sleep_until(schedule.connections_until);
         this->callers->stop_accepting();
-        runtime::sleep_until(asked_at + accept_period);
+        runtime::sleep_until(schedule.requests_until);
         this->refuse_new = true;
         this->callers->close_idle();
-        auto const latest = asked_at + this->settings.leaving.grace - exit_margin;
-        while (this->callers->requests_under_way() > 0 && base::monotonic_clock::now() < latest) {
+        while (this->callers->requests_under_way() > 0 &&
+               base::monotonic_clock::now() < schedule.work_until) {
             runtime::sleep_until(base::monotonic_clock::now() + drain_check_interval);
         }
         this->log.write(
