Router: a stopping host waits for requests that others sent on and that arrive

Callers saw: a 502 for a request that may run once, although an upstream was running it. Their host had sent it on to one that was stopped. A request whose body was on its way was cut off.

Cause: `leave` waited for the requests of the host's own callers whose handlers had been called. Without any, the process ended 2.9 s after SIGTERM.

All of them count now. Connections of other hosts are closed between two requests before the exit.

--- a/linnetlane/router/host.h
+++ b/linnetlane/router/host.h
@@ -9,6 +9,7 @@
 #define LINNETLANE_ROUTER_HOST_H_
 
 #include <algorithm>
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -107,9 +108,9 @@
     auto leave(std::function<void()> const& ended) -> void {
         auto const schedule = make_shutdown_schedule(base::monotonic_clock::now(),
                                                      this->settings.leaving.grace);
-        this->log.write(telemetry::log_level::info, "shutting down",
-                        {{"requests_under_way",
-                          static_cast<std::int64_t>(this->callers->requests_under_way())}});
+        this->log.write(
+            telemetry::log_level::info, "shutting down",
+            {{"requests_under_way", static_cast<std::int64_t>(this->requests_under_way())}});
         this->callers->close_after_responses();
         this->view.feed.invalidate();
         // Followers that wait are answered at once.
@@ -120,16 +121,42 @@
         runtime::sleep_until(schedule.requests_until);
         this->refuse_new = true;
         this->callers->close_idle();
-        while (this->callers->requests_under_way() > 0 &&
-               base::monotonic_clock::now() < schedule.work_until) {
-            runtime::sleep_until(base::monotonic_clock::now() + drain_check_interval);
-        }
+        this->await_requests(schedule.work_until);
+        this->close_to_peers(schedule.exit_by);
         this->log.write(
             telemetry::log_level::info, "stopped",
-            {{"requests_cut_off", static_cast<std::int64_t>(this->callers->requests_under_way())}});
+            {{"requests_cut_off", static_cast<std::int64_t>(this->requests_under_way())}});
         ended();
     }
 
+    // Returns the number of requests of callers, also those that other hosts sent on, that have not
+    // been answered.
+    [[nodiscard]] auto requests_under_way() const -> std::size_t {
+        auto const own = this->callers->requests_arriving() + this->callers->requests_under_way();
+        auto const arriving_from_peers = this->peers ? this->peers->requests_arriving() : 0;
+        return own + arriving_from_peers + this->forwarded_under_way;
+    }
+
+    // Suspends the calling fiber until no request is under way, at most until `deadline`.
+    auto await_requests(base::time_point deadline) -> void {
+        while (this->requests_under_way() > 0 && base::monotonic_clock::now() < deadline) {
+            runtime::sleep_until(
+                std::min(deadline, base::monotonic_clock::now() + drain_check_interval));
+        }
+    }
+
+    // Ends the connections of other hosts between two requests, so that the exit cuts none off.
+    auto close_to_peers(base::time_point deadline) -> void {
+        if (this->peers) {
+            this->peers->close_after_responses();
+            this->peers->stop_accepting();
+            this->peers->close_idle();
+            runtime::sleep_until(
+                std::min(deadline, base::monotonic_clock::now() + drain_check_interval));
+            this->await_requests(deadline);
+        }
+    }
+
     auto apply_limits(routing::caller_limits const& limits) -> void {
         auto applied = runtime::http_limits{};
         applied.header_bytes = limits.header_bytes;
@@ -164,7 +191,9 @@
     auto serve_peer(runtime::http_request const& request, runtime::http_responder& responder)
         -> void {
         if (request.target == forward_target || request.target == keyed_forward_target) {
+            ++this->forwarded_under_way;
             this->serve_forwarded(request, responder);
+            --this->forwarded_under_way;
         } else if (request.target == facts_target) {
             this->receive_facts(request, responder);
         } else if (request.target == quota_target) {
@@ -563,6 +592,8 @@
     std::optional<runtime::http_server> callers;
     std::optional<runtime::http_server> operators;
     std::optional<runtime::http_server> peers;
+    // Requests that other hosts sent on and that have not been answered.
+    std::size_t forwarded_under_way = 0;
     bool leaving = false;
     // New requests are refused, since they might not end within the grace time.
     bool refuse_new = false;
