Router: a stopping host begins nothing late and answers what it can't finish

Callers saw: requests that a stopping host had taken were passed on at any time until their deadlines, and cut off with no answer 7.2 s after SIGTERM, also those that may run once. Upstreams worked on, with the caller's time limit.

Cause: only the arrival of a request was bound to the shutdown. One that waited (for room, for other engines, for another host) knew nothing of it, its deadline was the caller's, and nothing answered what was left at the end.

`host_shutdown` tells requests the phase. After the time for accepting, one that has not run is refused as not run as soon as it would take its next step; one from another host with the mark that a third one may take it. Deadlines end with the time for work, also those that upstreams are told. What is still under way then ends as at its deadline: with 504, or cut if a stream has begun. A prefill that has been made goes on to its decode.

--- a/linnetlane/router/account_page_test.cpp
+++ b/linnetlane/router/account_page_test.cpp
@@ -34,7 +34,9 @@
     routing_view view{this->settings, 1};
     router_metrics metrics;
     telemetry::event_log log{this->settings.log, {this->settings.host, {}}};
-    host_context host{this->pool, this->view, this->metrics, this->log, this->settings};
+    host_shutdown shutdown;
+    host_context host{this->pool, this->view,     this->metrics,
+                      this->log,  this->settings, this->shutdown};
     quota_service quotas{this->host};
     account_activity activity{this->metrics};
 
--- a/linnetlane/router/generation_forwarder.h
+++ b/linnetlane/router/generation_forwarder.h
@@ -66,6 +66,8 @@
         forwarded,
         caller_left,
         timed_out,
+        // This host shuts down, and the request has not begun.
+        leaving,
         no_capacity,
         quarantined,
         // The request's key may have been taken away.
@@ -87,7 +89,10 @@
         if (this->context.cancelled.cancelled()) {
             return attempt_result::caller_left;
         }
-        if (base::monotonic_clock::now() >= this->context.answer_by) {
+        if (!this->may_begin()) {
+            return attempt_result::leaving;
+        }
+        if (base::monotonic_clock::now() >= this->context.answer_by()) {
             return attempt_result::timed_out;
         }
         if (this->context.quarantine_refusal(base::monotonic_clock::now())) {
@@ -131,6 +136,13 @@
         return this->context.resumes || this->relay.started();
     }
 
+    // Returns whether the request may begin at an engine while this host shuts down. One that has
+    // not run is better served by another host.
+    [[nodiscard]] auto may_begin() const -> bool {
+        return this->may_have_run || this->relay.started() ||
+               this->context.host.shutdown.admits_work(base::monotonic_clock::now());
+    }
+
     auto prefill_and_decode(decode_reservation const& reserved) -> attempt_result {
         auto const source = this->prefill(reserved.engine.id);
         if (!source) {
@@ -152,7 +164,7 @@
             return this->reserve_once();
         }
         auto const until =
-            std::min(this->context.answer_by,
+            std::min(this->context.answer_by(),
                      base::monotonic_clock::now() +
                          std::chrono::duration_cast<base::duration>(
                              this->context.route.target_latency * room_wait_share_of_target));
@@ -191,8 +203,10 @@
         runtime::sleep_until(next);
         if (this->context.cancelled.cancelled()) {
             this->reservation_failure = attempt_result::caller_left;
+        } else if (!this->may_begin()) {
+            this->reservation_failure = attempt_result::leaving;
         }
-        return !this->context.cancelled.cancelled();
+        return this->reservation_failure == attempt_result::no_capacity;
     }
 
     auto reserve_once() -> std::optional<decode_reservation> {
@@ -221,6 +235,10 @@
             std::chrono::duration_cast<base::duration>(this->context.route.target_latency *
                                                        reservation_share_of_target);
         for (auto const& id : candidates) {
+            if (!this->may_begin()) {
+                this->reservation_failure = attempt_result::leaving;
+                return std::nullopt;
+            }
             if (base::monotonic_clock::now() >= reserve_until) {
                 return std::nullopt;
             }
@@ -295,7 +313,7 @@
             engine.address,
             Wire::make_reserve_request(engine.id, this->reserved_tokens(), this->reservation_ttl()),
             runtime::connection_use::pooled,
-            std::min(this->context.answer_by, now + reservation_timeout));
+            std::min(this->context.answer_by(), now + reservation_timeout));
         auto& pool = this->context.state().generation;
         if (base::failure_of(called) != nullptr) {
             this->context.note_no_answer(engine.address);
@@ -421,6 +439,10 @@
             auto const id = this->context.state().generation.prefill_candidate(tried, destination,
                                                                                view.draw(), now);
             auto const* const record = id ? view.upstreams.find(*id) : nullptr;
+            if (!this->may_begin()) {
+                this->prefill_failure = attempt_result::leaving;
+                return std::nullopt;
+            }
             if (record == nullptr || !this->may_prefill(tried, now)) {
                 return std::nullopt;
             }
@@ -483,7 +505,7 @@
         auto const now = base::monotonic_clock::now();
         auto const ahead = pool.tokens_under_way(engine.id, now);
         pool.begin(engine.id, this->prompt());
-        auto const deadline = std::min(this->context.answer_by, now + this->prefill_timeout());
+        auto const deadline = std::min(this->context.answer_by(), now + this->prefill_timeout());
         this->context.note_request_to(engine.id);
         // The engine drops the prompt if it hasn't begun by the deadline.
         auto const options = send_options{engine.id, deadline - now};
@@ -533,8 +555,7 @@
         }
         auto const body = opened->stream.read_all(max_engine_answer_bytes, deadline);
         auto const* const broken = base::failure_of(body);
-        if (broken != nullptr && broken->kind == runtime::http_failure_kind::closed &&
-            !this->context.cancelled.cancelled()) {
+        if (broken != nullptr && this->context.was_broken_off(*broken)) {
             this->note_upstream_ended(engine.id, false);
         }
         auto const whole = broken == nullptr && opened->head.status == 200;
@@ -589,13 +610,13 @@
             return this->may_have_run ? attempt_result::outcome_unknown
                                       : attempt_result::no_capacity;
         }
-        auto const options = send_options{reserved.engine.id, this->context.answer_by - now};
+        auto const options = send_options{reserved.engine.id, this->context.answer_by() - now};
         this->context.note_request_to(reserved.engine.id);
         auto const decoding = decode_options{source, reserved.id, this->relay.last_event()};
         auto result = exchange_with_upstream<Wire>(
             this->context, reserved.engine.address,
             Wire::make_decode_request(this->context.caller, options, decoding),
-            runtime::connection_use::pooled, this->context.answer_by);
+            runtime::connection_use::pooled, this->context.answer_by());
         if (auto const* const failure = std::get_if<exchange_failure_kind>(&result)) {
             return this->after_decode_failure(reserved, source, *failure);
         }
@@ -693,7 +714,7 @@
     }
 
     auto forward_failure(opened_answer& opened) -> attempt_result {
-        auto body = opened.stream.read_all(max_engine_answer_bytes, this->context.answer_by);
+        auto body = opened.stream.read_all(max_engine_answer_bytes, this->context.answer_by());
         if (base::failure_of(body) != nullptr) {
             return attempt_result::outcome_unknown;
         }
@@ -741,6 +762,8 @@
                 return request_result{request_outcome::caller_left, this->relay.status()};
             case attempt_result::timed_out:
                 return this->refuse_or_cut(refusal_reason::timed_out);
+            case attempt_result::leaving:
+                return this->refuse_or_cut(refusal_reason::leaving);
             case attempt_result::no_capacity:
                 return this->refuse_or_cut(refusal_reason::overloaded);
             case attempt_result::quarantined:
@@ -793,7 +816,7 @@
         if (this->is_in_progress()) {
             // Its target is missed in any case; what counts is that room is found in the end.
             constexpr auto share_of_time_left = 0.15;
-            auto const left = this->context.answer_by - base::monotonic_clock::now();
+            auto const left = this->context.answer_by() - base::monotonic_clock::now();
             auto const later = std::chrono::duration_cast<base::duration>(
                 left * share_of_time_left * (0.5 + view.draw()));
             return std::max(soon, later);
@@ -805,7 +828,7 @@
         constexpr auto share_of_time_left = 0.3;
         auto const now = base::monotonic_clock::now();
         auto const most = std::chrono::duration_cast<base::duration>(
-            (this->rank->late ? this->context.answer_by - now
+            (this->rank->late ? this->context.answer_by() - now
                               : this->context.route.target_latency) *
             share_of_time_left);
         // Spread, so that those who return together are few.
--- a/linnetlane/router/host.h
+++ b/linnetlane/router/host.h
@@ -20,6 +20,7 @@
 #include "linnetlane/router/fact_publisher.h"
 #include "linnetlane/router/generation_forwarder.h"
 #include "linnetlane/router/host_membership.h"
+#include "linnetlane/router/host_shutdown.h"
 #include "linnetlane/router/isolation_watch.h"
 #include "linnetlane/router/peer_forwarder.h"
 #include "linnetlane/router/plain_forwarder.h"
@@ -48,7 +49,7 @@
           registry{std::move(own_registry)},
           log{own_log},
           view{this->settings, seed},
-          host{own_pool, this->view, this->metrics, this->log, this->settings},
+          host{own_pool, this->view, this->metrics, this->log, this->settings, this->shutdown},
           configurations{this->registry, this->host,
                          [this](auto const& applied) {
                              this->apply_limits(applied.limits);
@@ -106,8 +107,9 @@
 
 private:
     auto leave(std::function<void()> const& ended) -> void {
-        auto const schedule = make_shutdown_schedule(base::monotonic_clock::now(),
-                                                     this->settings.leaving.grace);
+        auto const schedule =
+            make_shutdown_schedule(base::monotonic_clock::now(), this->settings.leaving.grace);
+        this->shutdown.begin(schedule);
         this->log.write(
             telemetry::log_level::info, "shutting down",
             {{"requests_under_way", static_cast<std::int64_t>(this->requests_under_way())}});
@@ -119,9 +121,10 @@
         runtime::sleep_until(schedule.connections_until);
         this->callers->stop_accepting();
         runtime::sleep_until(schedule.requests_until);
-        this->refuse_new = true;
         this->callers->close_idle();
         this->await_requests(schedule.work_until);
+        this->shutdown.end_requests();
+        this->await_requests(schedule.exit_by);
         this->close_to_peers(schedule.exit_by);
         this->log.write(
             telemetry::log_level::info, "stopped",
@@ -352,7 +355,7 @@
             refuse_unrouted(refusal_reason::no_configuration);
             return;
         }
-        if (this->refuse_new) {
+        if (!this->shutdown.admits_work(arrived)) {
             refuse_unrouted(refusal_reason::leaving);
             return;
         }
@@ -374,6 +377,7 @@
         auto const allowed = std::min(route->timeout, caller.timeout.value_or(route->timeout));
         auto cancelled = cancellation{};
         responder.on_client_disconnect([&] { cancelled.cancel(); });
+        this->shutdown.add(cancelled);
         auto const resumes = route->resumable && caller.resumes;
         auto context =
             request_context{this->host,
@@ -405,6 +409,7 @@
         } else {
             this->forward(context);
         }
+        this->shutdown.remove(cancelled);
         responder.on_client_disconnect([] {});
     }
 
@@ -437,7 +442,10 @@
         if (end.unsent) {
             auto const delay =
                 routing::retry_after(context.route.target_latency, this->view.draw());
-            end = refuse<Wire>(context, refusal{refusal_reason::upstreams_unreachable, delay});
+            auto const reason = this->shutdown.admits_work(base::monotonic_clock::now())
+                                    ? refusal_reason::upstreams_unreachable
+                                    : refusal_reason::leaving;
+            end = refuse<Wire>(context, refusal{reason, delay});
         }
         if (charged && end.refused && is_not_run(*end.refused)) {
             this->quotas.give_back(context);
@@ -453,7 +461,7 @@
     // Sends a request that reached no upstream through another host. Returns nothing if no host
     // took it.
     auto forward_by_peer(request_context const& context) -> std::optional<request_result> {
-        this->isolation.refresh_peers(context.answer_by);
+        this->isolation.refresh_peers(context.answer_by());
         auto const end = peer_forwarder<Wire>{context}.run();
         this->metrics.count_forwarded(end.has_value());
         return end;
@@ -579,6 +587,7 @@
     telemetry::event_log const& log;
     routing_view view;
     router_metrics metrics;
+    host_shutdown shutdown;
     host_context host;
     configuration_follower<Registry> configurations;
     upstream_follower<Registry> upstreams;
@@ -595,8 +604,6 @@
     // Requests that other hosts sent on and that have not been answered.
     std::size_t forwarded_under_way = 0;
     bool leaving = false;
-    // New requests are refused, since they might not end within the grace time.
-    bool refuse_new = false;
 };
 
 }  // namespace linnetlane::router
--- a/linnetlane/router/peer_forwarder.h
+++ b/linnetlane/router/peer_forwarder.h
@@ -34,7 +34,9 @@
         while (this->tried.size() < max_peers) {
             auto const now = base::monotonic_clock::now();
             auto const peer = directory.pick(this->tried, this->context.host.view.draw(), now);
-            if (!peer || now >= this->context.answer_by) {
+            auto const may_begin =
+                this->may_have_run || this->context.host.shutdown.admits_work(now);
+            if (!peer || !may_begin || now >= this->context.answer_by()) {
                 break;
             }
             this->tried.insert(peer->host);
@@ -65,13 +67,13 @@
 
     // Returns the result, or nothing if another host may be asked.
     auto attempt(host_entry const& peer) -> std::optional<request_result> {
-        auto const time_left = this->context.answer_by - base::monotonic_clock::now();
+        auto const time_left = this->context.answer_by() - base::monotonic_clock::now();
         auto result =
             exchange<Wire>(this->context, *peer.peers,
                            make_forward_request(
                                {this->context.caller.forwarded, time_left, this->context.caller.key,
                                 this->context.configuration->version, this->bound}),
-                           connection_use_for(this->context.route), this->context.answer_by);
+                           connection_use_for(this->context.route), this->context.answer_by());
         if (auto const* const failure = std::get_if<exchange_failure_kind>(&result)) {
             return this->after_failure(peer, *failure);
         }
@@ -119,12 +121,16 @@
 
     auto forward_whole(host_entry const& peer, opened_answer& opened)
         -> std::optional<request_result> {
-        auto body = opened.stream.read_all(max_answer_bytes, this->context.answer_by);
-        if (base::failure_of(body) != nullptr) {
+        auto body = opened.stream.read_all(max_answer_bytes, this->context.answer_by());
+        if (auto const* const failed = base::failure_of(body)) {
             if (this->context.cancelled.cancelled()) {
                 return request_result{request_outcome::caller_left};
             }
             this->log(peer, "answer is incomplete", opened.head.status);
+            if (this->context.has_timed_out(*failed)) {
+                return refuse<Wire>(this->context,
+                                    refusal{refusal_reason::timed_out, std::nullopt});
+            }
             return this->retry_or_give_up();
         }
         auto const sent = this->context.responder.send({opened.head.status,
@@ -139,7 +145,7 @@
         auto& responder = this->context.responder;
         auto sent = responder.start(status, Wire::answer_fields(opened.stream.fields()));
         while (sent) {
-            auto const piece = opened.stream.read_some(this->context.answer_by);
+            auto const piece = opened.stream.read_some(this->context.answer_by());
             if (base::failure_of(piece) != nullptr) {
                 responder.abort();
                 return request_result{request_outcome::cut_off, status};
--- a/linnetlane/router/plain_forwarder.h
+++ b/linnetlane/router/plain_forwarder.h
@@ -42,7 +42,10 @@
                 return request_result{request_outcome::caller_left};
             }
             auto const now = base::monotonic_clock::now();
-            if (now >= this->context.answer_by) {
+            if (!this->may_begin(now)) {
+                return this->give_up(refusal_reason::leaving);
+            }
+            if (now >= this->context.answer_by()) {
                 return this->give_up(refusal_reason::timed_out);
             }
             if (auto const refused = this->context.quarantine_refusal(now)) {
@@ -83,6 +86,12 @@
         return false;
     }
 
+    // Returns whether the request may be sent while this host shuts down. One that has not run is
+    // better served by another host.
+    [[nodiscard]] auto may_begin(base::time_point now) const -> bool {
+        return this->may_have_run || this->context.host.shutdown.admits_work(now);
+    }
+
     // Returns whether further attempts would fail like the last one, because this host reaches no
     // upstream.
     [[nodiscard]] auto is_isolated(base::time_point now) const -> bool {
@@ -135,11 +144,11 @@
         pool.started(target.id);
         auto const sent_at = base::monotonic_clock::now();
         this->context.note_request_to(target.id);
-        auto const options = send_options{target.id, this->context.answer_by - sent_at};
+        auto const options = send_options{target.id, this->context.answer_by() - sent_at};
         auto result = exchange_with_upstream<Wire>(
             this->context, target.address,
             Wire::make_execute_request(this->context.caller, options),
-            connection_use_for(this->context.route), this->context.answer_by);
+            connection_use_for(this->context.route), this->context.answer_by());
         if (auto const* const failure = std::get_if<exchange_failure_kind>(&result)) {
             return this->after_failure(target, *failure, sent_at);
         }
@@ -211,7 +220,7 @@
 
     auto forward_whole(routing::upstream_record const& target, opened_answer& opened,
                        base::time_point sent_at) -> std::optional<request_result> {
-        auto body = opened.stream.read_all(max_answer_bytes, this->context.answer_by);
+        auto body = opened.stream.read_all(max_answer_bytes, this->context.answer_by());
         if (auto const* const failed = base::failure_of(body)) {
             if (this->context.cancelled.cancelled()) {
                 this->note(target, routing::exchange_outcome::abandoned, sent_at, std::nullopt);
@@ -219,11 +228,11 @@
             }
             this->note(target, routing::exchange_outcome::transport_failure, sent_at, std::nullopt);
             this->log_attempt(target, "answer is incomplete");
-            if (failed->kind == runtime::http_failure_kind::timed_out) {
+            if (this->context.has_timed_out(*failed)) {
                 return this->give_up(refusal_reason::timed_out);
             }
             // The caller receives nothing of an answer that isn't whole.
-            if (failed->kind == runtime::http_failure_kind::closed) {
+            if (this->context.was_broken_off(*failed)) {
                 this->note_upstream_ended(target, false);
             }
             return this->retry_or_give_up(refusal_reason::outcome_unknown);
--- a/linnetlane/router/request_context.h
+++ b/linnetlane/router/request_context.h
@@ -16,6 +16,7 @@
 #include "linnetlane/base/ids.h"
 #include "linnetlane/base/time.h"
 #include "linnetlane/router/cancellation.h"
+#include "linnetlane/router/host_shutdown.h"
 #include "linnetlane/router/messages.h"
 #include "linnetlane/router/peer_codec.h"
 #include "linnetlane/router/request_authentication.h"
@@ -34,6 +35,7 @@
     router_metrics& metrics;
     telemetry::event_log const& log;
     router_settings const& settings;
+    host_shutdown const& shutdown;
 };
 
 // How long after a limit was named an answer without one counts as older than it.
@@ -100,8 +102,8 @@
     routing::route const& route;
     base::service_id service;
     base::time_point arrived;
-    // The deadline of the answer: the earlier of the limits of the caller and the route.
-    base::time_point answer_by;
+    // The earlier of the limits of the caller and the route.
+    base::time_point deadline;
     cancellation& cancelled;
     // The software version of the upstreams that the request may be sent to: the one that began the
     // stream which it resumes, or that another host has bound it to. Nothing if it may be any.
@@ -118,6 +120,19 @@
     [[nodiscard]] auto state() const -> service_state& {
         return this->host.view.service(this->service);
     }
+    // Returns the deadline of the answer, which a shutdown of this host brings forward.
+    [[nodiscard]] auto answer_by() const -> base::time_point {
+        return this->host.shutdown.limited(this->deadline);
+    }
+    // Returns whether an exchange failed since the request has no more time.
+    [[nodiscard]] auto has_timed_out(runtime::http_failure const& failed) const -> bool {
+        return failed.kind == runtime::http_failure_kind::timed_out || this->cancelled.expired();
+    }
+    // Returns whether an exchange failed since the other side closed the connection.
+    [[nodiscard]] auto was_broken_off(runtime::http_failure const& failed) const -> bool {
+        return failed.kind == runtime::http_failure_kind::closed && !this->cancelled.cancelled() &&
+               !this->cancelled.expired();
+    }
     // Binds the request to a software version before it is sent to an upstream of it. Returns the
     // version that all upstreams must have which the request is sent to; nothing if they may
     // differ, since the caller can't resume the answer.
@@ -297,6 +312,9 @@
         if (failed.send_state == runtime::send_state::not_sent) {
             return exchange_failure_kind::not_sent;
         }
+        if (context.has_timed_out(failed)) {
+            return exchange_failure_kind::timed_out;
+        }
         switch (failed.kind) {
             case runtime::http_failure_kind::timed_out:
                 return exchange_failure_kind::timed_out;
@@ -379,7 +397,9 @@
 template <router_wire Wire>
 auto refuse(request_context const& context, refusal const& refused) -> request_result {
     auto response = Wire::write_refusal(refused, context.caller);
-    if (context.from_peer && refused.reason == refusal_reason::upstreams_unreachable) {
+    if (context.from_peer && (refused.reason == refusal_reason::upstreams_unreachable ||
+                              refused.reason == refusal_reason::leaving)) {
+        // Another host may be able to serve the request.
         mark_forward_refusal(response);
     }
     auto const sent = context.responder.send(response);
--- a/linnetlane/router/stream_relay.h
+++ b/linnetlane/router/stream_relay.h
@@ -38,7 +38,7 @@
             return relay_outcome::caller_left;
         }
         for (;;) {
-            auto piece = from.stream.read_some(this->context.answer_by);
+            auto piece = from.stream.read_some(this->context.answer_by());
             if (auto const* failed = base::failure_of(piece)) {
                 this->framing.discard_incomplete();
                 return this->outcome_for(*failed);
@@ -139,8 +139,8 @@
         if (this->context.cancelled.cancelled()) {
             return relay_outcome::caller_left;
         }
-        return failed.kind == runtime::http_failure_kind::timed_out ? relay_outcome::timed_out
-                                                                    : relay_outcome::interrupted;
+        return this->context.has_timed_out(failed) ? relay_outcome::timed_out
+                                                   : relay_outcome::interrupted;
     }
 
     request_context const& context;
