--- a/linnetlane/router/host.h
+++ b/linnetlane/router/host.h
@@ -9,6 +9,7 @@
 #define LINNETLANE_ROUTER_HOST_H_
 
 #include <algorithm>
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -20,6 +21,7 @@
 #include "linnetlane/router/fact_publisher.h"
 #include "linnetlane/router/generation_forwarder.h"
 #include "linnetlane/router/host_membership.h"
+#include "linnetlane/router/host_shutdown.h"
 #include "linnetlane/router/isolation_watch.h"
 #include "linnetlane/router/peer_forwarder.h"
 #include "linnetlane/router/plain_forwarder.h"
@@ -27,6 +29,7 @@
 #include "linnetlane/router/registry_follower.h"
 #include "linnetlane/router/request_context.h"
 #include "linnetlane/router/request_digest.h"
+#include "linnetlane/router/shutdown_schedule.h"
 #include "linnetlane/router/stream_origin_finder.h"
 #include "linnetlane/router/stream_origin_recorder.h"
 #include "linnetlane/runtime/worker_pool.h"
@@ -37,14 +40,6 @@
 template <router_registry Registry, router_wire Wire>
 class router_host {
 public:
-    // The time that the load balancer needs after SIGTERM to stop sending connections: two
-    // readiness checks, one second apart.
-    static constexpr auto balancer_drain_time = std::chrono::milliseconds{2600};
-    // New requests are accepted for this long after SIGTERM. The platform expects answers to
-    // requests that arrive within three seconds; later ones might not end within the grace time.
-    static constexpr auto accept_period = std::chrono::milliseconds{2900};
-    // The part of the grace time that is left for the exit of the process.
-    static constexpr auto exit_margin = std::chrono::milliseconds{800};
     static constexpr auto drain_check_interval = std::chrono::milliseconds{100};
     // The retry delay of refusals before a route is known, such as before the first configuration.
     static constexpr auto configuration_wait = std::chrono::milliseconds{400};
@@ -57,7 +52,7 @@
           registry{std::move(own_registry)},
           log{own_log},
           view{this->settings, seed},
-          host{own_pool, this->view, this->metrics, this->log, this->settings},
+          host{own_pool, this->view, this->metrics, this->log, this->settings, this->shutdown},
           configurations{this->registry, this->host,
                          [this](auto const& applied) {
                              this->apply_limits(applied.limits);
@@ -116,30 +111,59 @@
 
 private:
     auto leave(std::function<void()> const& ended) -> void {
-        auto const asked_at = base::monotonic_clock::now();
-        this->log.write(telemetry::log_level::info, "shutting down",
-                        {{"requests_under_way",
-                          static_cast<std::int64_t>(this->callers->requests_under_way())}});
+        auto const schedule =
+            make_shutdown_schedule(base::monotonic_clock::now(), this->settings.leaving.grace);
+        this->shutdown.begin(schedule);
+        this->log.write(
+            telemetry::log_level::info, "shutting down",
+            {{"requests_under_way", static_cast<std::int64_t>(this->requests_under_way())}});
         this->callers->close_after_responses();
         this->view.feed.invalidate();
         // Followers that wait are answered at once.
         this->view.feed.set_lost_registry(true);
         this->membership.leave();
-        runtime::sleep_until(asked_at + balancer_drain_time);
+        runtime::sleep_until(schedule.connections_until);
         this->callers->stop_accepting();
-        runtime::sleep_until(asked_at + accept_period);
-        this->refuse_new = true;
+        runtime::sleep_until(schedule.requests_until);
         this->callers->close_idle();
-        auto const latest = asked_at + this->settings.leaving.grace - exit_margin;
-        while (this->callers->requests_under_way() > 0 && base::monotonic_clock::now() < latest) {
-            runtime::sleep_until(base::monotonic_clock::now() + drain_check_interval);
-        }
+        this->await_requests(schedule.work_until);
+        this->shutdown.end_requests();
+        this->await_requests(schedule.exit_by);
+        this->close_to_peers(schedule.exit_by);
         this->log.write(
             telemetry::log_level::info, "stopped",
-            {{"requests_cut_off", static_cast<std::int64_t>(this->callers->requests_under_way())}});
+            {{"requests_cut_off", static_cast<std::int64_t>(this->requests_under_way())}});
         ended();
     }
 
+    // Returns the number of requests of callers, also those that other hosts sent on, that have not
+    // been answered.
+    [[nodiscard]] auto requests_under_way() const -> std::size_t {
+        auto const own = this->callers->requests_arriving() + this->callers->requests_under_way();
+        auto const arriving_from_peers = this->peers ? this->peers->requests_arriving() : 0;
+        return own + arriving_from_peers + this->forwarded_under_way;
+    }
+
+    // Suspends the calling fiber until no request is under way, at most until `deadline`.
+    auto await_requests(base::time_point deadline) -> void {
+        while (this->requests_under_way() > 0 && base::monotonic_clock::now() < deadline) {
+            runtime::sleep_until(
+                std::min(deadline, base::monotonic_clock::now() + drain_check_interval));
+        }
+    }
+
+    // Ends the connections of other hosts between two requests, so that the exit cuts none off.
+    auto close_to_peers(base::time_point deadline) -> void {
+        if (this->peers) {
+            this->peers->close_after_responses();
+            this->peers->stop_accepting();
+            this->peers->close_idle();
+            runtime::sleep_until(
+                std::min(deadline, base::monotonic_clock::now() + drain_check_interval));
+            this->await_requests(deadline);
+        }
+    }
+
     auto apply_limits(routing::caller_limits const& limits) -> void {
         auto applied = runtime::http_limits{};
         applied.header_bytes = limits.header_bytes;
@@ -174,7 +198,9 @@
     auto serve_peer(runtime::http_request const& request, runtime::http_responder& responder)
         -> void {
         if (request.target == forward_target || request.target == keyed_forward_target) {
+            ++this->forwarded_under_way;
             this->serve_forwarded(request, responder);
+            --this->forwarded_under_way;
         } else if (request.target == facts_target) {
             this->receive_facts(request, responder);
         } else if (request.target == quota_target) {
@@ -338,7 +364,7 @@
             refuse_unrouted(refusal_reason::no_configuration);
             return;
         }
-        if (this->refuse_new) {
+        if (!this->shutdown.admits_work(arrived)) {
             refuse_unrouted(refusal_reason::leaving);
             return;
         }
@@ -365,6 +391,7 @@
         auto const allowed = std::min(route->timeout, caller.timeout.value_or(route->timeout));
         auto cancelled = cancellation{};
         responder.on_client_disconnect([&] { cancelled.cancel(); });
+        this->shutdown.add(cancelled);
         auto const resumes = route->resumable && caller.resumes;
         auto context =
             request_context{this->host,
@@ -396,6 +423,7 @@
         } else {
             this->forward(context);
         }
+        this->shutdown.remove(cancelled);
         responder.on_client_disconnect([] {});
     }
 
@@ -440,7 +468,10 @@
         if (end.unsent) {
             auto const delay =
                 routing::retry_after(context.route.target_latency, this->view.draw());
-            end = refuse<Wire>(context, refusal{refusal_reason::upstreams_unreachable, delay});
+            auto const reason = this->shutdown.admits_work(base::monotonic_clock::now())
+                                    ? refusal_reason::upstreams_unreachable
+                                    : refusal_reason::leaving;
+            end = refuse<Wire>(context, refusal{reason, delay});
         }
         if (charged && end.refused && is_not_run(*end.refused)) {
             this->quotas.give_back(context);
@@ -456,7 +487,7 @@
     // Sends a request that reached no upstream through another host. Returns nothing if no host
     // took it.
     auto forward_by_peer(request_context const& context) -> std::optional<request_result> {
-        this->isolation.refresh_peers(context.answer_by);
+        this->isolation.refresh_peers(context.answer_by());
         auto const end = peer_forwarder<Wire>{context}.run();
         this->metrics.count_forwarded(end.has_value());
         return end;
@@ -584,6 +615,7 @@
     telemetry::event_log const& log;
     routing_view view;
     router_metrics metrics;
+    host_shutdown shutdown;
     host_context host;
     configuration_follower<Registry> configurations;
     configuration_confirmer<Registry> confirmer;
@@ -598,9 +630,9 @@
     std::optional<runtime::http_server> callers;
     std::optional<runtime::http_server> operators;
     std::optional<runtime::http_server> peers;
+    // Requests that other hosts sent on and that have not been answered.
+    std::size_t forwarded_under_way = 0;
     bool leaving = false;
-    // New requests are refused, since they might not end within the grace time.
-    bool refuse_new = false;
 };
 
 }  // namespace linnetlane::router
