--- a/linnetlane/router/configuration_confirmer.h
+++ b/linnetlane/router/configuration_confirmer.h
@@ -1,7 +1,7 @@
 // Finds out, when a request depends on it, whether the configuration in force is the newest one. A
-// host that reads the registry asks it; any other host asks the host that it follows.
+// host that reads the registry queries it; any other host queries the one that it follows.
 //
-//   if (!confirmer.is_current(bound, deadline)) {
+//   if (!confirmer.confirm(bound, deadline)) {
 //       // A newer configuration may be in force elsewhere.
 //   }
 
@@ -24,11 +24,11 @@
 template <router_registry Registry>
 class configuration_confirmer {
 public:
-    // The timeout of a question to the registry. The followed host, which may have to ask the
+    // The timeout of a query to the registry. The followed host, which may have to query the
     // registry, takes longer.
     static constexpr auto registry_timeout = std::chrono::milliseconds{250};
-    static constexpr auto peer_timeout = std::chrono::milliseconds{400};
-    // The pause after a question that gave no proof, so that requests aren't delayed again and
+    static constexpr auto peer_timeout = std::chrono::milliseconds{300};
+    // The pause after a query that gave no proof, so that requests aren't delayed again and
     // again while there is none to be had.
     static constexpr auto retry_interval = std::chrono::milliseconds{400};
     static constexpr auto check_interval = std::chrono::milliseconds{10};
@@ -37,20 +37,20 @@
                             configuration_follower<Registry>& own_configurations)
         : host{own_host}, configurations{own_configurations} {}
 
-    // Returns whether the configuration in force was the newest one at some moment no longer ago
-    // than `bound`. Asks if that isn't known; requests that come meanwhile share the answer. If
-    // there is a newer configuration, waits for it. Suspends the calling fiber, at most until
-    // `deadline`.
-    auto is_current(base::duration bound, base::time_point deadline) -> bool {
+    // Confirms that the configuration in force was the newest one at some moment no longer ago than
+    // `bound`; returns false without a proof. Sends a query if there is none; requests that come
+    // meanwhile share the answer. If there is a newer configuration, waits for it. Suspends the
+    // calling fiber, at most until `deadline`.
+    auto confirm(base::duration bound, base::time_point deadline) -> bool {
         if (this->is_proven(bound)) {
             return true;
         }
         auto const now = base::monotonic_clock::now();
-        if (!this->asking && now >= this->next_question) {
-            this->asking = true;
-            this->host.pool.spawn([this, bound] { this->ask(bound); });
+        if (!this->query_pending && now >= this->next_query) {
+            this->query_pending = true;
+            this->host.pool.spawn([this, bound] { this->query(bound); });
         }
-        while ((this->asking || this->is_behind()) && !this->is_proven(bound) &&
+        while ((this->query_pending || this->is_behind()) && !this->is_proven(bound) &&
                base::monotonic_clock::now() < deadline) {
             runtime::sleep_until(std::min(deadline, base::monotonic_clock::now() + check_interval));
         }
@@ -60,8 +60,8 @@
     // Answers another host. Suspends the calling fiber.
     auto state_for_host() -> configuration_state {
         // The answer is on its way for a part of the bound.
-        static_cast<void>(this->is_current(this->host.settings.changes.applied_within / 2,
-                                           base::monotonic_clock::now() + registry_timeout));
+        static_cast<void>(this->confirm(this->host.settings.changes.applied_within / 2,
+                                        base::monotonic_clock::now() + registry_timeout));
         auto const current = this->host.view.routes.current();
         return {current ? current->version : routing::configuration_version{},
                 this->host.view.freshness.age(base::boot_clock::now())};
@@ -72,29 +72,29 @@
         return this->host.view.freshness.is_within(bound, base::boot_clock::now());
     }
 
-    // Returns whether another host has a newer configuration.
+    // Returns whether the followed host has a newer configuration.
     [[nodiscard]] auto is_behind() const -> bool {
         auto const current = this->host.view.routes.current();
-        return current != nullptr && current->version < this->newest_known;
+        return current != nullptr && current->version < this->stated_version;
     }
 
-    auto ask(base::duration bound) -> void {
+    auto query(base::duration bound) -> void {
         auto& view = this->host.view;
         if (view.reads_registry) {
             this->configurations.read_newer(base::monotonic_clock::now() + registry_timeout);
         } else if (view.source) {
-            this->ask_host(host_entry{*view.source});
+            this->query_host(host_entry{*view.source});
         }
         if (!this->is_proven(bound)) {
-            this->next_question = base::monotonic_clock::now() + retry_interval;
+            this->next_query = base::monotonic_clock::now() + retry_interval;
             this->host.log.write(
                 telemetry::log_level::info, "no proof that the configuration is the newest one",
                 {{"reads_registry", view.reads_registry}, {"behind", this->is_behind()}});
         }
-        this->asking = false;
+        this->query_pending = false;
     }
 
-    auto ask_host(host_entry const& followed) -> void {
+    auto query_host(host_entry const& followed) -> void {
         auto const asked_at = base::boot_clock::now();
         auto const fetched = runtime::fetch(*followed.peers, make_configuration_request(),
                                             runtime::connection_use::pooled,
@@ -104,9 +104,10 @@
                                ? decode_configuration_state(response->body)
                                : std::nullopt;
         if (!state) {
+            this->stated_version = {};
             return;
         }
-        this->newest_known = std::max(this->newest_known, state->version);
+        this->stated_version = state->version;
         // What was newest there proves nothing for another version.
         auto const current = this->host.view.routes.current();
         if (state->age && current != nullptr && current->version == state->version) {
@@ -116,10 +117,10 @@
 
     host_context const& host;
     configuration_follower<Registry>& configurations;
-    bool asking = false;
-    base::time_point next_question = base::time_point::min();
-    // The newest version that another host has stated.
-    routing::configuration_version newest_known;
+    bool query_pending = false;
+    base::time_point next_query = base::time_point::min();
+    // The version that the followed host stated last.
+    routing::configuration_version stated_version;
 };
 
 }  // namespace linnetlane::router
--- a/linnetlane/router/host.h
+++ b/linnetlane/router/host.h
@@ -436,7 +436,7 @@
     auto confirms_no_route(caller_request const& caller, base::time_point arrived) -> bool {
         auto const wait =
             std::min<base::duration>(confirmation_wait, caller.timeout.value_or(confirmation_wait));
-        return this->confirmer.is_current(this->settings.changes.applied_within, arrived + wait);
+        return this->confirmer.confirm(this->settings.changes.applied_within, arrived + wait);
     }
 
     auto forward(request_context const& context) -> void {
--- a/linnetlane/router/peer_codec.cpp
+++ b/linnetlane/router/peer_codec.cpp
@@ -579,7 +579,9 @@
 
 auto decode_configuration_state(std::string_view text) -> std::optional<configuration_state> {
     auto const in = read<peer_wire::configuration_state>(text);
-    if (!in || !in->__isset.configuration_version || (in->__isset.age && in->age < 0)) {
+    auto const valid = in && in->__isset.configuration_version && in->configuration_version >= 0 &&
+                       !(in->__isset.age && in->age < 0);
+    if (!valid) {
         return std::nullopt;
     }
     auto state = configuration_state{};
