--- a/linnetlane/router/registry_follower.h
+++ b/linnetlane/router/registry_follower.h
@@ -12,9 +12,7 @@
 #include <algorithm>
 #include <chrono>
 #include <cstddef>
-#include <cstdint>
 #include <functional>
-#include <limits>
 #include <map>
 #include <memory>
 #include <optional>
@@ -501,8 +499,6 @@
         view.feed.set_lost_registry(false);
         if (this->outages.succeeded()) {
             view.relays.note_registry_regained(base::monotonic_clock::now());
-        } else {
-            view.relays.note_registry_answered(base::monotonic_clock::now());
         }
         view.learn_quarantined(base::value_of(listing).quarantined, base::monotonic_clock::now());
         auto const registered = hosts_of(base::value_of(listing), view.relays.own_entry());
@@ -625,75 +621,49 @@
             relay.host,
             without_registry ? relay_failure::without_registry : relay_failure::unreachable,
             base::monotonic_clock::now());
-        this->check_next_hosts(without_registry ? relay_failure::without_registry
-                                                : relay_failure::unreachable);
+        if (!without_registry) {
+            this->find_silent_hosts();
+        }
     }
 
-    struct check_results {
-        std::set<base::host_id> passed;
-        std::size_t ended = 0;
-    };
-
-    // Asks all hosts that may be followed next, at the same time, and records those that fail as
-    // the last one did: that give no sign of life, or, if `kind` says so, that don't read the
-    // registry. Followed in turn, each of them would cost the time of a question.
-    auto check_next_hosts(relay_failure kind) -> void {
+    // Asks all hosts that may be followed next, at the same time, for a sign of life and records
+    // those that give none. Followed in turn, each of them would cost the timeout of a question.
+    auto find_silent_hosts() -> void {
+        struct probe_results {
+            std::set<base::host_id> alive;
+            std::size_t ended = 0;
+        };
         auto& relays = this->host.view.relays;
         auto const asked = relays.candidates(base::monotonic_clock::now());
         if (asked.empty()) {
             return;
         }
-        auto const needs_registry = kind == relay_failure::without_registry;
-        auto const deadline = base::monotonic_clock::now() + follower_timing::liveness_timeout +
-                              (needs_registry ? base::duration{registry_feed::takeover_time}
-                                              : base::duration::zero());
-        auto const results = std::make_shared<check_results>();
+        auto const deadline = base::monotonic_clock::now() + follower_timing::liveness_timeout;
+        auto const results = std::make_shared<probe_results>();
         for (auto const& each : asked) {
-            this->host.pool.spawn([each, deadline, needs_registry, results] {
-                if (needs_registry ? reads_registry(each, deadline) : is_alive(each, deadline)) {
-                    results->passed.insert(each.host);
+            this->host.pool.spawn([each, deadline, results] {
+                // Every host answers a report without facts at once.
+                auto const answered = runtime::fetch(*each.peers, make_fact_report({}),
+                                                     runtime::connection_use::pooled, deadline);
+                if (base::succeeded(answered)) {
+                    results->alive.insert(each.host);
                 }
                 ++results->ended;
             });
         }
-        // One host that reads the registry is enough.
-        while (results->ended < asked.size() && !(needs_registry && !results->passed.empty()) &&
-               base::monotonic_clock::now() < deadline) {
+        while (results->ended < asked.size() && base::monotonic_clock::now() < deadline) {
             runtime::sleep_until(base::monotonic_clock::now() +
                                  follower_timing::liveness_check_interval);
         }
         auto const now = base::monotonic_clock::now();
         for (auto const& each : asked) {
-            if (!results->passed.contains(each.host)) {
-                relays.note_failure(each.host, kind, now);
+            if (!results->alive.contains(each.host)) {
+                relays.note_failure(each.host, relay_failure::unreachable, now);
             }
         }
         this->host.log.write(telemetry::log_level::info, "checked which hosts can be followed",
                              {{"asked", static_cast<std::int64_t>(asked.size())},
-                              {"need_registry", needs_registry},
-                              {"alive", static_cast<std::int64_t>(results->passed.size())}});
-    }
-
-    static auto is_alive(host_entry const& one, base::time_point deadline) -> bool {
-        // Every host answers a report without facts at once.
-        return base::succeeded(runtime::fetch(*one.peers, make_fact_report({}),
-                                              runtime::connection_use::pooled, deadline));
-    }
-
-    // A host that is about to read the registry answers when it does.
-    static auto reads_registry(host_entry const& one, base::time_point deadline) -> bool {
-        // There are no changes after this position, and no newer configuration.
-        auto const nothing_newer = changes_question{
-            registry_position{std::numeric_limits<std::uint64_t>::max()}, base::duration::zero(),
-            routing::configuration_version{std::numeric_limits<std::uint64_t>::max()}};
-        auto const answered = runtime::fetch(*one.peers, make_changes_request(nothing_newer),
-                                             runtime::connection_use::pooled, deadline);
-        auto const* const response = std::get_if<runtime::http_response>(&answered);
-        if (response == nullptr || response->status != 200) {
-            return false;
-        }
-        auto const answer = decode_answer(response->body);
-        return base::succeeded(answer) && !base::value_of(answer).redirected;
+                              {"alive", static_cast<std::int64_t>(results->alive.size())}});
     }
 
     auto note_source(relay_choice const& choice) -> void {
--- a/linnetlane/router/relay_selector.cpp
+++ b/linnetlane/router/relay_selector.cpp
@@ -113,9 +113,7 @@
     if (!this->without_source_since) {
         this->without_source_since = now;
     }
-    auto const answered =
-        this->registry_answered_at && *this->registry_answered_at >= *this->without_source_since;
-    auto const outage = !answered && std::ranges::any_of(this->order, [&](auto const& each) {
+    auto const outage = std::ranges::any_of(this->order, [&](auto const& each) {
         auto const found = this->failures.find(each.host);
         return found != this->failures.end() &&
                found->second.kind == relay_failure::without_registry;
@@ -147,7 +145,6 @@
     if (own) {
         this->reads_registry = false;
         this->lost_registry = true;
-        this->registry_answered_at.reset();
     }
 }
 
--- a/linnetlane/router/relay_selector.h
+++ b/linnetlane/router/relay_selector.h
@@ -72,9 +72,9 @@
     // stays registered, since asking one interrupts its own service.
     static constexpr auto reader_cooldown = std::chrono::seconds{12};
     // Lengthens the delay before the last resort if hosts of the order are alive but have lost the
-    // registry, which then is probably unavailable to all unless it answers this host.
+    // registry, which then is probably unavailable to all.
     static constexpr auto outage_delay_factor = 4;
-    // Divides that delay if a host was followed, so that changes are late only briefly.
+    // Divides that delay if a followed host fell silent, so that changes are late only briefly.
     static constexpr auto loss_delay_divisor = 8;
 
     explicit relay_selector(host_entry own) : self{std::move(own)} {}
@@ -85,8 +85,6 @@
     // the last resort, since other hosts regain the registry at the same time. A host outside of
     // the order doesn't use the registry before.
     auto note_registry_regained(base::time_point now) -> void;
-    // Records that the registry answered a call of this host, which had not lost it.
-    auto note_registry_answered(base::time_point now) -> void { this->registry_answered_at = now; }
     // Returns the hosts to follow, whether or not they are usable now. They may include this host.
     [[nodiscard]] auto known_hosts() const -> std::vector<host_entry> const& { return this->order; }
     [[nodiscard]] auto has_order() const -> bool { return !this->order.empty(); }
@@ -132,8 +130,6 @@
     std::optional<base::time_point> without_source_since;
     // The last choice was the registry, and it has not failed since.
     bool reads_registry = false;
-    // When the registry answered this host last, if it has not been lost since.
-    std::optional<base::time_point> registry_answered_at;
     // This host's last attempt to read the registry failed.
     bool lost_registry = false;
     // Some source has provided changes.
