Follower: a host that others follow is asked soon, however often it has failed here

Cause: their log shows twelve questions of 0.3 s each to hosts that answered with a redirect to the one host that read the registry. That one had last failed before the end of the partition, and its cooldown had grown to 4 s; being named by others made it preferred, but not usable. Ruled out: a lost answer (the registry was regained 0.4 s after the partition) and a restart of these hosts (none before 20.6 s).

Change: for a host that others say they follow the cooldown is the initial 0.5 s; a further failure ends that. a_host_that_others_follow_is_usable_soon_however_often_it_has_failed_here chose no host before.

--- a/linnetlane/router/relay_selector.cpp
+++ b/linnetlane/router/relay_selector.cpp
@@ -95,8 +95,12 @@
     if (found == this->failures.end()) {
         return true;
     }
-    auto const cooldown = this->reads_registry && one.host != this->self.host
-                              ? base::duration{reader_cooldown}
+    if (this->reads_registry && one.host != this->self.host) {
+        return now >= found->second.last + reader_cooldown;
+    }
+    // What failed before a partition ended says little of a host that others follow.
+    auto const cooldown = found->second.followed_elsewhere
+                              ? std::min<base::duration>(found->second.cooldown, initial_cooldown)
                               : found->second.cooldown;
     return now >= found->second.last + cooldown;
 }
--- a/linnetlane/router/relay_selector_test.cpp
+++ b/linnetlane/router/relay_selector_test.cpp
@@ -161,6 +161,24 @@
     BOOST_TEST(chosen(relays, start + relay_selector::initial_cooldown) == "h2");
 }
 
+// A host whose partition has ended was redirected from host to host for four seconds.
+BOOST_AUTO_TEST_CASE(a_host_that_others_follow_is_usable_soon_however_often_it_has_failed_here) {
+    auto relays = relay_selector{entry("h9")};
+    relays.set_last_resort_delay(1h);
+    relays.set_order({entry("h1"), entry("h2")});
+    for (auto count = 0; count < 8; ++count) {
+        relays.note_failure(base::host_id{"h1"}, relay_failure::unreachable, start);
+    }
+    auto const soon = start + relay_selector::initial_cooldown;
+    relays.note_failure(base::host_id{"h2"}, relay_failure::without_registry, soon);
+    BOOST_TEST(chosen(relays, soon) == "");
+    relays.note_followed_elsewhere(base::host_id{"h1"});
+    BOOST_TEST(chosen(relays, soon) == "h1");
+    // It fails again, and nobody has said since that it is followed.
+    relays.note_failure(base::host_id{"h1"}, relay_failure::unreachable, soon);
+    BOOST_TEST(chosen(relays, soon + relay_selector::initial_cooldown) != "h1");
+}
+
 BOOST_AUTO_TEST_CASE(hosts_before_this_one_that_were_not_silent_are_candidates) {
     auto relays = relay_selector{entry("h4")};
     relays.set_order({entry("h1"), entry("h2"), entry("h3"), entry("h4"), entry("h5")});
