--- a/linnetlane/router/registry_follower.h
+++ b/linnetlane/router/registry_follower.h
@@ -544,9 +544,8 @@
         this->on_configuration(update.configuration);
         // Older hosts state an age without the version.
         auto const current = view.routes.current();
-        auto const is_same = current != nullptr &&
-                             update.configuration_version.value_or(current->version) ==
-                                 current->version;
+        auto const is_same = current != nullptr && update.configuration_version.value_or(
+                                                       current->version) == current->version;
         if (update.configuration_age && is_same) {
             view.freshness.note_newest(asked_at - *update.configuration_age);
         }
