Streams: a minority of all hosts confirms no version

Cause: the log shows the version concluded with "no answer from the registry" by a host that was cut off together with three others, readers of other data centres. A host asks at most four of its data centre and four readers of others; in a site of nine hosts three of four asked were in its group of four, which confirmed itself. Ruled out: a missing record, and a change that was unread, since the registry gave no answer.

Change: those that agree must also be more than half of all hosts, or of as many as can be asked.

--- a/linnetlane/router/stream_origin_finder.h
+++ b/linnetlane/router/stream_origin_finder.h
@@ -197,7 +197,12 @@
             return !each.registry_answered && each.sole_version == known;
         };
         auto const is_only_host = asked == 0 && this->host.view.known_hosts() == 1;
-        auto const most_answered = 2 * received.size() > asked;
+        // Few hosts are asked; where most of the asked are fewer than half of all hosts, a group
+        // that is cut off together could confirm itself.
+        auto const hosts = std::max(this->host.view.known_hosts(), std::size_t{1});
+        auto const counted = std::min(hosts, 2 * max_asked + 1);
+        auto const most_answered =
+            2 * received.size() > asked && 2 * (received.size() + 1) > counted;
         auto const may_conclude =
             is_only_host || (most_answered && std::ranges::all_of(received, agrees));
         return {may_conclude ? known : std::nullopt, origin_source::registry_unavailable};
