Logs: the proof by which a request was handled, and where a configuration came from

A line `request ended` had the configuration's version only, so that a request that was served by an older one couldn't be told to be served by a reader that was late, a followed host without news, or a process that had just started. The line now has the age of the proof that the configuration was the newest one, and the host that stated it; `configuration in force` says which host it came from. No change of what is decided.

--- a/linnetlane/router/configuration_confirmer.h
+++ b/linnetlane/router/configuration_confirmer.h
@@ -111,7 +111,7 @@
         // What was newest there proves nothing for another version.
         auto const current = this->host.view.routes.current();
         if (state->age && current != nullptr && current->version == state->version) {
-            this->host.view.freshness.note_newest(asked_at - *state->age);
+            this->host.view.freshness.note_newest(asked_at - *state->age, followed.host);
         }
     }
 
--- a/linnetlane/router/host.h
+++ b/linnetlane/router/host.h
@@ -45,6 +45,8 @@
     static constexpr auto configuration_wait = std::chrono::milliseconds{400};
     // How long a request without a route waits for a proof that no newer configuration has one.
     static constexpr auto confirmation_wait = std::chrono::milliseconds{400};
+    // The age that log lines state for a configuration that was never known to be the newest one.
+    static constexpr auto no_proof = base::duration{std::chrono::seconds{-1}};
 
     router_host(runtime::worker_pool& own_pool, router_settings own_settings, Registry own_registry,
                 telemetry::event_log const& own_log, std::uint32_t seed)
@@ -60,7 +62,9 @@
                          }},
           confirmer{this->host, this->configurations},
           upstreams{this->registry, this->host,
-                    [this](auto const& offered) { this->configurations.offer(offered); }},
+                    [this](auto const& offered, auto const& told_by) {
+                        this->configurations.offer(offered, told_by);
+                    }},
           membership{this->registry, this->host},
           recorder{this->registry, this->host},
           origins{this->registry, this->host},
@@ -372,6 +376,7 @@
             this->has_route(caller) || this->confirms_no_route(caller, arrived);
         // A newer configuration may have come meanwhile.
         auto const configuration = this->view.routes.current();
+        auto const proof = this->present_proof();
         auto const* const route = this->view.routes.match(caller.host, caller.forwarded.target);
         if (route == nullptr) {
             refuse_unrouted(is_confirmed ? refusal_reason::no_route
@@ -406,7 +411,8 @@
                             caller.bound_to,
                             resumes,
                             from_peer,
-                            routing::subjects_of(*service, caller.shared_parts, digest_of(caller))};
+                            routing::subjects_of(*service, caller.shared_parts, digest_of(caller)),
+                            proof};
         if (!context.required && route->resumable) {
             // Of an earlier attempt under the same id.
             context.required = this->view.origins.find(caller.id);
@@ -427,6 +433,11 @@
         responder.on_client_disconnect([] {});
     }
 
+    [[nodiscard]] auto present_proof() const -> configuration_proof {
+        auto const& freshness = this->view.freshness;
+        return {freshness.age(base::boot_clock::now()), freshness.told_by()};
+    }
+
     [[nodiscard]] auto has_route(caller_request const& caller) const -> bool {
         return this->view.routes.match(caller.host, caller.forwarded.target) != nullptr;
     }
@@ -518,6 +529,8 @@
              telemetry::field::named("route", context.route.name),
              telemetry::field::named("account", context.caller.account.value_or(base::caller_id{})),
              {"version", static_cast<std::int64_t>(context.configuration->version.value)},
+             {"proof_age", context.proof.age.value_or(no_proof)},
+             telemetry::field::named("proof_from", context.proof.told_by),
              {"outcome", describe(end)},
              {"status", static_cast<std::int64_t>(end.status)},
              {"come_back_after", end.retry_after.value_or(base::duration::zero())},
@@ -598,12 +611,15 @@
                                     reason);
         }
         auto const configuration = this->view.routes.current();
+        auto const proof = this->present_proof();
         this->log.write(
             telemetry::log_level::info, "request ended",
             {caller.id,
              telemetry::field::named("account", caller.account.value_or(base::caller_id{})),
              {"version",
               configuration ? static_cast<std::int64_t>(configuration->version.value) : 0},
+             {"proof_age", proof.age.value_or(no_proof)},
+             telemetry::field::named("proof_from", proof.told_by),
              {"outcome", describe(reason)},
              {"status", static_cast<std::int64_t>(response.status)},
              {"caller_left", !sent},
--- a/linnetlane/router/registry_follower.h
+++ b/linnetlane/router/registry_follower.h
@@ -211,8 +211,10 @@
         }
     }
 
-    // Puts `offered` in force if its version is newer than the current one. `offered` may be null.
-    auto offer(std::shared_ptr<routing::configuration const> const& offered) -> void {
+    // Puts `offered`, which the host `told_by` or the registry provided, in force if its version is
+    // newer than the current one. `offered` may be null.
+    auto offer(std::shared_ptr<routing::configuration const> const& offered,
+               base::host_id const& told_by = {}) -> void {
         if (offered == nullptr) {
             return;
         }
@@ -224,7 +226,8 @@
         this->host.metrics.set_configuration(offered->version);
         this->host.log.write(telemetry::log_level::info, "configuration in force",
                              {{"version", static_cast<std::int64_t>(offered->version.value)},
-                              {"routes", static_cast<std::int64_t>(offered->routes.size())}});
+                              {"routes", static_cast<std::int64_t>(offered->routes.size())},
+                              telemetry::field::named("from", told_by)});
         this->on_applied(*offered);
     }
 
@@ -325,8 +328,8 @@
     static constexpr auto max_unreadable = std::size_t{1000};
 
     // Receives the configurations that a followed host provides; null if there is no newer one.
-    using configuration_hook =
-        std::function<void(std::shared_ptr<routing::configuration const> const&)>;
+    using configuration_hook = std::function<void(
+        std::shared_ptr<routing::configuration const> const&, base::host_id const&)>;
 
     upstream_follower(Registry& own_registry, host_context const& own_host, configuration_hook hook)
         : registry{own_registry},
@@ -541,13 +544,13 @@
         if (update.hosts > 0) {
             view.note_hosts(update.hosts, base::monotonic_clock::now());
         }
-        this->on_configuration(update.configuration);
+        this->on_configuration(update.configuration, relay.host);
         // Older hosts state an age without the version.
         auto const current = view.routes.current();
         auto const is_same = current != nullptr && update.configuration_version.value_or(
                                                        current->version) == current->version;
         if (update.configuration_age && is_same) {
-            view.freshness.note_newest(asked_at - *update.configuration_age);
+            view.freshness.note_newest(asked_at - *update.configuration_age, relay.host);
         }
         view.note_upstreams_current(asked_at);
         view.upstreams.extend_grace(base::monotonic_clock::now(), update.grace_left);
--- a/linnetlane/router/request_context.h
+++ b/linnetlane/router/request_context.h
@@ -92,6 +92,14 @@
     }
 }
 
+// What was known of the configuration that decided a request, at that moment.
+struct configuration_proof {
+    // The time since it was known to be the newest one; nothing if it never was.
+    std::optional<base::duration> age;
+    // The host that stated the proof; empty if it was the registry.
+    base::host_id told_by;
+};
+
 // One request and its environment. Lives until the request ends.
 struct request_context {
     host_context host;
@@ -114,6 +122,7 @@
     bool from_peer = false;
     // What the quarantine knows the request by.
     routing::request_subjects subjects = {};
+    configuration_proof proof = {};
     // The upstreams that the request was sent to.
     mutable std::set<base::endpoint> sent_to = {};
 
--- a/linnetlane/routing/configuration_freshness.h
+++ b/linnetlane/routing/configuration_freshness.h
@@ -12,10 +12,10 @@
 #ifndef LINNETLANE_ROUTING_CONFIGURATION_FRESHNESS_H_
 #define LINNETLANE_ROUTING_CONFIGURATION_FRESHNESS_H_
 
-#include <algorithm>
 #include <chrono>
 #include <optional>
 
+#include "linnetlane/base/ids.h"
 #include "linnetlane/base/time.h"
 
 namespace linnetlane::routing {
@@ -25,9 +25,13 @@
 public:
     using time_point = base::boot_clock::time_point;
 
-    // Records that the configuration in force was the newest one at `moment`.
-    auto note_newest(time_point moment) -> void {
-        this->newest_at = std::max(this->newest_at.value_or(moment), moment);
+    // Records that the configuration in force was the newest one at `moment`, as `told_by` stated;
+    // empty for the registry.
+    auto note_newest(time_point moment, base::host_id const& told_by = {}) -> void {
+        if (!this->newest_at || *this->newest_at < moment) {
+            this->newest_at = moment;
+            this->source = told_by;
+        }
     }
     // Drops all proofs, such as those from before a restoration of the registry.
     auto forget() -> void { this->newest_at.reset(); }
@@ -38,6 +42,8 @@
                                      now - *this->newest_at)}
                                : std::nullopt;
     }
+    // Returns the host that stated the last proof; empty if it was the registry or there is none.
+    [[nodiscard]] auto told_by() const -> base::host_id const& { return this->source; }
     // Returns whether that moment is no longer ago than `bound`.
     [[nodiscard]] auto is_within(base::duration bound, time_point now) const -> bool {
         return this->newest_at && now - *this->newest_at <= bound;
@@ -45,6 +51,7 @@
 
 private:
     std::optional<time_point> newest_at;
+    base::host_id source;
 };
 
 }  // namespace linnetlane::routing
--- a/linnetlane/routing/configuration_freshness_test.cpp
+++ b/linnetlane/routing/configuration_freshness_test.cpp
@@ -33,10 +33,12 @@
 }
 
 BOOST_AUTO_TEST_CASE(an_older_proof_takes_nothing_back) {
+    auto const followed = base::host_id{"h2"};
     auto host = configuration_freshness{};
-    host.note_newest(at(2s));
+    host.note_newest(at(2s), followed);
     host.note_newest(at(1s));
     BOOST_TEST(host.is_within(bound, at(3s)));
+    BOOST_TEST(host.told_by() == followed);
 }
 
 BOOST_AUTO_TEST_CASE(a_follower_never_knows_of_a_later_moment_than_the_host_that_it_follows) {
