A host serves by a configuration only with a proof that it is the newest one

Cause: serving by a route was concluded from the absence of news. Whatever delays a change on its way to a host (a wait whose answer is late, a followed host that has lost the store or is late itself, several of them asked in turn, 0.3 s each), the host went on with what it had, although it reached the store all the while.

Ruled out: that only unknown routes are concerned; that one more path of the news is too slow and shorter timeouts would end it (the trial was reverted, since the next path then was late); load (the tests fail without any).

Change: each request is handled with a proof no older than applied_within. Readers' waits for a configuration end after a quarter of the bound, followers get the reader's proof with each answer, and configuration_confirmer renews one that reaches three fifths of the bound: from the followed host, and after 0.1 s from the store itself, by a question after the position up to which the store has shown no newer configuration. Followed hosts state that position, so the answer is small. Without an answer the host is cut off, says so, and goes on with the last known configuration without further waits. A refusal for good requires a proof no older than an eighth of the bound, as a rule a new question, as before.

--- a/linnetlane/protocol/router.thrift
+++ b/linnetlane/protocol/router.thrift
@@ -182,6 +182,8 @@
     13: optional list<host> distant_readers,
     // The version of that configuration. Older senders don't state it.
     14: optional i64 configuration_version,
+    // The position in the registry up to which none is newer than that version.
+    15: optional i64 configuration_position,
 }
 
 struct header_field {
@@ -225,7 +227,14 @@
     3: optional string sole_version,
 }
 
-// The configuration in force at a host, in answer to a request without a body.
+// Asks for the configuration in force at a host. Hosts of earlier versions send no body.
+struct configuration_question {
+    // The age of a proof that is enough for the sender; for an older one the receiver asks the
+    // registry.
+    1: optional i64 age,
+}
+
+// The configuration in force at a host.
 struct configuration_state {
     1: i64 configuration_version,
     // The time since it was known to be the newest one. Left out if it never was.
--- a/linnetlane/router/host.h
+++ b/linnetlane/router/host.h
@@ -43,8 +43,12 @@
     static constexpr auto drain_check_interval = std::chrono::milliseconds{100};
     // The retry delay of refusals before a route is known, such as before the first configuration.
     static constexpr auto configuration_wait = std::chrono::milliseconds{400};
-    // How long a request without a route waits for a proof that no newer configuration has one.
+    // How long a request waits for a proof that no newer configuration would handle it in another
+    // way.
     static constexpr auto confirmation_wait = std::chrono::milliseconds{400};
+    // The age of the proof that a refusal for good requires, as a share of the bound on changes.
+    // The caller of a route that was added just now would not come back.
+    static constexpr auto final_refusal_share = 1.0 / 8;
     // The age that log lines state for a configuration that was never known to be the newest one.
     static constexpr auto no_proof = base::duration{std::chrono::seconds{-1}};
 
@@ -93,6 +97,7 @@
                                 });
         }
         this->host.pool.spawn([this] { this->configurations.run(); });
+        this->host.pool.spawn([this] { this->confirmer.run(); });
         this->host.pool.spawn([this] { this->upstreams.run(); });
         this->host.pool.spawn([this] { this->upstreams.sweep(); });
         this->host.pool.spawn([this] { this->membership.run(); });
@@ -213,7 +218,9 @@
             this->serve_origin(request, responder);
         } else if (request.target == configuration_target) {
             // If the peer has disconnected, it asks again.
-            static_cast<void>(responder.send({200, {}, encode(this->confirmer.state_for_host())}));
+            auto const wanted = decode_configuration_question(request.body);
+            static_cast<void>(
+                responder.send({200, {}, encode(this->confirmer.state_for_host(wanted))}));
         } else {
             this->serve_follower(request, responder);
         }
@@ -354,6 +361,10 @@
         update.configuration_age = this->view.freshness.age(base::boot_clock::now());
         if (auto const current = this->view.routes.current()) {
             update.configuration_version = current->version;
+            auto const& shown = this->view.last_shown();
+            if (shown && shown->version == current->version) {
+                update.configuration_position = shown->position;
+            }
         }
         return update;
     }
@@ -372,8 +383,7 @@
             refuse_unrouted(refusal_reason::leaving);
             return;
         }
-        auto const is_confirmed =
-            this->has_route(caller) || this->confirms_no_route(caller, arrived);
+        auto const is_confirmed = this->confirms_configuration(caller, arrived);
         // A newer configuration may have come meanwhile.
         auto const configuration = this->view.routes.current();
         auto const proof = this->present_proof();
@@ -438,16 +448,21 @@
         return {freshness.age(base::boot_clock::now()), freshness.told_by()};
     }
 
-    [[nodiscard]] auto has_route(caller_request const& caller) const -> bool {
-        return this->view.routes.match(caller.host, caller.forwarded.target) != nullptr;
-    }
-
-    // Returns whether no newer configuration can have a route for the request. Suspends the calling
-    // fiber.
-    auto confirms_no_route(caller_request const& caller, base::time_point arrived) -> bool {
+    // Returns whether the configuration in force is known to be the newest one. Otherwise this host
+    // is cut off from the registry, and can only go on with the last known one. Suspends the
+    // calling fiber.
+    auto confirms_configuration(caller_request const& caller, base::time_point arrived) -> bool {
         auto const wait =
             std::min<base::duration>(confirmation_wait, caller.timeout.value_or(confirmation_wait));
-        return this->confirmer.confirm(this->settings.changes.applied_within, arrived + wait);
+        auto const has_route =
+            this->view.routes.match(caller.host, caller.forwarded.target) != nullptr;
+        auto const bound =
+            share_of(this->settings.changes.applied_within, has_route ? 1.0 : final_refusal_share);
+        auto const confirmed = this->confirmer.confirm(bound, arrived + wait);
+        if (!confirmed) {
+            this->metrics.count_unconfirmed();
+        }
+        return confirmed;
     }
 
     auto forward(request_context const& context) -> void {
--- a/linnetlane/router/peer_codec.cpp
+++ b/linnetlane/router/peer_codec.cpp
@@ -230,6 +230,10 @@
         out.__set_configuration_version(
             static_cast<std::int64_t>(update.configuration_version->value));
     }
+    if (update.configuration_position) {
+        out.__set_configuration_position(
+            static_cast<std::int64_t>(update.configuration_position->value));
+    }
     return out;
 }
 
@@ -564,8 +568,16 @@
     return answer;
 }
 
-auto make_configuration_request() -> runtime::http_request {
-    return runtime::http_request{"POST", std::string{configuration_target}, {}, {}};
+auto make_configuration_request(base::duration age) -> runtime::http_request {
+    auto out = peer_wire::configuration_question{};
+    out.__set_age(microseconds_of(age));
+    return runtime::http_request{
+        "POST", std::string{configuration_target}, {}, protocol::write_compact(out)};
+}
+
+auto decode_configuration_question(std::string_view text) -> std::optional<base::duration> {
+    auto const in = read<peer_wire::configuration_question>(text);
+    return in && in->__isset.age && in->age >= 0 ? std::optional{span(in->age)} : std::nullopt;
 }
 
 auto encode(configuration_state const& state) -> std::string {
@@ -697,6 +709,10 @@
         update.configuration_version =
             routing::configuration_version{static_cast<std::uint64_t>(in->configuration_version)};
     }
+    if (in->__isset.configuration_position) {
+        update.configuration_position =
+            registry_position{static_cast<std::uint64_t>(in->configuration_position)};
+    }
     return update;
 }
 
--- a/linnetlane/router/peer_codec.h
+++ b/linnetlane/router/peer_codec.h
@@ -84,6 +84,8 @@
     std::optional<base::duration> configuration_age = std::nullopt;
     // The version of that configuration. Older hosts don't state it.
     std::optional<routing::configuration_version> configuration_version = std::nullopt;
+    // The position up to which the registry has shown no newer one. Older hosts don't state it.
+    std::optional<registry_position> configuration_position = std::nullopt;
     // Some hosts of other data centres that read the registry. Their entries state no data centre.
     std::vector<host_entry> distant_readers = {};
 };
@@ -196,7 +198,11 @@
 // Returns nothing if `text` is malformed or the answer of a host that doesn't know the question.
 [[nodiscard]] auto decode_origin_answer(std::string_view text) -> std::optional<origin_answer>;
 
-[[nodiscard]] auto make_configuration_request() -> runtime::http_request;
+// Asks for the configuration in force at another host, and a proof that is no older than `age`.
+[[nodiscard]] auto make_configuration_request(base::duration age) -> runtime::http_request;
+// Returns the wanted age of the proof; nothing if it isn't stated, as by older hosts.
+[[nodiscard]] auto decode_configuration_question(std::string_view text)
+    -> std::optional<base::duration>;
 [[nodiscard]] auto encode(configuration_state const& state) -> std::string;
 // Returns nothing if `text` is malformed.
 [[nodiscard]] auto decode_configuration_state(std::string_view text)
--- a/linnetlane/router/peers_test.cpp
+++ b/linnetlane/router/peers_test.cpp
@@ -187,6 +187,9 @@
         update.hosts = *rc::gen::inRange<std::size_t>(0, 1000);
         update.relays = {relay("h1", 120), relay("h2", 500)};
         update.distant_readers = {relay("h3", 250)};
+        update.configuration_version = configuration.version;
+        update.configuration_position =
+            registry_position{*rc::gen::inRange<std::uint64_t>(0, 1'000'000)};
         update.facts = any_facts();
         update.facts_at = fact_mark{*rc::gen::inRange<std::uint64_t>(1, 1000), {7}};
         auto const back = decode_answer(encode(changes_answer{update}));
@@ -201,6 +204,8 @@
         RC_ASSERT(base::value_of(back).hosts == update.hosts);
         RC_ASSERT(base::value_of(back).relays == update.relays);
         RC_ASSERT(base::value_of(back).distant_readers == update.distant_readers);
+        RC_ASSERT(base::value_of(back).configuration_version == update.configuration_version);
+        RC_ASSERT(base::value_of(back).configuration_position == update.configuration_position);
         RC_ASSERT(base::value_of(back).facts == update.facts);
         RC_ASSERT(base::value_of(back).facts_at == update.facts_at);
         auto asked = changes_question{{7}, {}, {}};
@@ -604,6 +609,11 @@
           configuration_state{{7}, base::duration{}}}) {
         BOOST_TEST((decode_configuration_state(encode(state)) == state));
     }
+    auto const age = base::duration{std::chrono::milliseconds{250}};
+    BOOST_TEST((decode_configuration_question(make_configuration_request(age).body) == age));
+    BOOST_TEST(!decode_configuration_question("").has_value());
+    BOOST_TEST(!decode_configuration_question("x").has_value());
+    BOOST_TEST(!decode_configuration_question(make_configuration_request(-age).body).has_value());
     BOOST_TEST(!decode_configuration_state("").has_value());
     BOOST_TEST(!decode_configuration_state("x").has_value());
     auto const negative_age = configuration_state{{7}, std::chrono::milliseconds{-1}};
--- a/linnetlane/router/registry_follower.h
+++ b/linnetlane/router/registry_follower.h
@@ -38,6 +38,9 @@
     // for followers and, of the bound, for a lost call.
     static constexpr auto unknown_key_share = 1.0 / 6;
     static constexpr auto revocation_share = 1.0 / 6;
+    // How long a call waits for a newer configuration, as a share of the bound on changes. Its end
+    // is a proof that the configuration is the newest one, which followers have a moment later.
+    static constexpr auto proof_share = 1.0 / 4;
     // The time after the end of the wait at which a call fails.
     static constexpr auto timeout_margin = std::chrono::milliseconds{700};
     // The timeout of a read of the full state.
@@ -74,8 +77,12 @@
     static constexpr auto max_last_resort_delay = std::chrono::milliseconds{1500};
 };
 
-// Returns how long a call waits for changes. If the answer is lost while the registry answers other
-// calls, only the end of the wait shows it.
+[[nodiscard]] inline auto share_of(base::duration whole, double share) -> base::duration {
+    return std::chrono::duration_cast<base::duration>(whole * share);
+}
+
+// Returns how long a call waits for changes of the upstreams. If the answer is lost while the
+// registry answers other calls, only the end of the wait shows it.
 [[nodiscard]] inline auto change_wait(change_settings const& changes) -> base::duration {
     return std::min<base::duration>(changes.applied_within, follower_timing::max_wait);
 }
@@ -169,7 +176,7 @@
             auto const after = this->position;
             if (!after) {
                 // Only a configuration that the read returns counts.
-                this->shows_in_force = false;
+                this->shown.reset();
             }
             auto const deadline = now + (after ? wait + follower_timing::timeout_margin
                                                : base::duration{follower_timing::read_timeout});
@@ -190,25 +197,35 @@
             this->outages.succeeded();
             this->backoff.after_success();
             this->position = base::value_of(reading).position;
-            this->apply(base::value_of(reading), asked_at);
+            this->shown = this->apply(base::value_of(reading), this->shown, asked_at);
         }
     }
 
-    // Asks the registry at once for a newer configuration and applies it, beside the wait for one.
-    // Has no effect while the registry has not yet shown the configuration in force to this
-    // process. Suspends the calling fiber, at most until `deadline`.
-    auto read_newer(base::time_point deadline) -> void {
-        if (!this->position || !this->shows_in_force) {
-            return;
+    // Asks the registry at once for what is newer than it has shown and applies it, beside the wait
+    // for that, also on hosts that follow another one. Returns whether the registry answered.
+    // Suspends the calling fiber, at most until `deadline`.
+    auto read_newer(base::time_point deadline) -> bool {
+        auto const known = this->host.view.last_shown();
+        if (known) {
+            auto const asked_at = base::boot_clock::now();
+            auto const newer = this->registry.read_newer_configuration(known->position, deadline);
+            auto const* const failure = base::failure_of(newer);
+            if (failure == nullptr) {
+                this->apply(base::value_of(newer), known->version, asked_at);
+                return true;
+            }
+            if (*failure != registry_failure::history_lost) {
+                // The wait under way, or the next query, shows whether the registry is available.
+                return false;
+            }
         }
         auto const asked_at = base::boot_clock::now();
-        auto const asked_after = this->position;
-        auto const reading = this->registry.read_newer_configuration(*asked_after, deadline);
-        // A failure changes nothing: the wait under way shows whether the registry is available.
-        // An answer that was overtaken by that of the wait may show an older configuration.
-        if (base::failure_of(reading) == nullptr && this->position == asked_after) {
-            this->apply(base::value_of(reading), asked_at);
+        auto const reading = this->registry.read_configuration(deadline);
+        if (base::failure_of(reading) != nullptr) {
+            return false;
         }
+        this->apply(base::value_of(reading), std::nullopt, asked_at);
+        return true;
     }
 
     // Puts `offered`, which the host `told_by` or the registry provided, in force if its version is
@@ -232,55 +249,61 @@
     }
 
 private:
-    // Applies an answer of the registry to a question at `asked_at`.
-    auto apply(configuration_reading const& reading,
-               routing::configuration_freshness::time_point asked_at) -> void {
+    using moment = routing::configuration_freshness::time_point;
+    using shown_version = std::optional<routing::configuration_version>;
+
+    // Applies an answer to a question at `asked_at` for what is newer than the version `before`, or
+    // for whatever there is if that is nothing. Returns the version that the registry has at the
+    // answer's position; nothing if there is none or it can't be read. One that isn't in force
+    // proves nothing, such as an older one after a restoration, or after the answer was overtaken.
+    auto apply(configuration_reading const& reading, shown_version const& before, moment asked_at)
+        -> shown_version {
         for (auto const& path : reading.skipped) {
             this->host.log.write(telemetry::log_level::warning,
                                  "a part of the configuration can't be read",
                                  {telemetry::field::named("path", base::document_path{path})});
         }
         this->offer(reading.configuration);
-        this->note_freshness(reading, asked_at);
-    }
-
-    // Returns how long to wait for a newer configuration. The end of a wait without one proves that
-    // the configuration is the newest.
-    [[nodiscard]] auto longest_wait() const -> base::duration {
-        auto const current = this->host.view.routes.current();
-        auto const usual = change_wait(this->host.settings.changes);
-        if (current == nullptr || !current->requires_keys) {
-            return usual;
+        this->note_era();
+        auto shows = reading.unreadable ? std::nullopt : before;
+        if (reading.configuration != nullptr) {
+            shows = reading.configuration->version;
         }
-        auto const& accounts = this->host.settings.accounts;
-        using seconds = std::chrono::duration<double>;
-        auto longest = seconds{accounts.current_within * follower_timing::unknown_key_share};
-        if (accounts.revocation_bound) {
-            longest = std::min<seconds>(
-                longest, *accounts.revocation_bound * follower_timing::revocation_share);
+        auto& view = this->host.view;
+        view.note_shown({shows, reading.position});
+        auto const in_force = view.routes.current();
+        if (in_force != nullptr && shows == in_force->version) {
+            view.freshness.note_newest(asked_at);
         }
-        return std::min(std::chrono::duration_cast<base::duration>(longest), usual);
+        return shows;
     }
 
-    // Records what an answer of the registry to a question at `asked_at` proves. One that shows an
-    // older configuration than that in force, none, or an unreadable one, proves nothing, nor do
-    // the waits that follow it.
-    auto note_freshness(configuration_reading const& reading,
-                        routing::configuration_freshness::time_point asked_at) -> void {
+    // Drops all proofs after a restoration of the registry.
+    auto note_era() -> void {
         if (this->registry.era() != this->known_era) {
             this->known_era = this->registry.era();
             this->host.view.freshness.forget();
         }
-        auto const in_force = this->host.view.routes.current();
-        if (reading.unreadable) {
-            this->shows_in_force = false;
-        } else if (reading.configuration != nullptr) {
-            this->shows_in_force =
-                in_force != nullptr && in_force->version == reading.configuration->version;
-        }
-        if (this->shows_in_force) {
-            this->host.view.freshness.note_newest(asked_at);
+    }
+
+    // Returns how long to wait for a newer configuration. The end of a wait without one proves that
+    // the configuration is the newest.
+    [[nodiscard]] auto longest_wait() const -> base::duration {
+        auto const current = this->host.view.routes.current();
+        using seconds = std::chrono::duration<double>;
+        auto longest = std::min<seconds>(
+            this->host.settings.changes.applied_within * follower_timing::proof_share,
+            follower_timing::max_wait);
+        if (current != nullptr && current->requires_keys) {
+            auto const& accounts = this->host.settings.accounts;
+            longest = std::min<seconds>(
+                longest, accounts.current_within * follower_timing::unknown_key_share);
+            if (accounts.revocation_bound) {
+                longest = std::min<seconds>(
+                    longest, *accounts.revocation_bound * follower_timing::revocation_share);
+            }
         }
+        return std::chrono::duration_cast<base::duration>(longest);
     }
 
     // Waits while this host doesn't read the registry itself. Returns whether it waited.
@@ -314,8 +337,9 @@
     registry_era known_era;
     // The position of the last answer of the registry; nothing if a full read is needed.
     std::optional<registry_position> position;
-    // The last configuration that the registry showed is the one in force.
-    bool shows_in_force = false;
+    // The version that the registry has at that position; nothing if there is none or it can't be
+    // read.
+    shown_version shown;
 };
 
 // Follows the upstreams in the registry, directly or through another host. Not thread-safe; must be
@@ -552,6 +576,9 @@
         if (update.configuration_age && is_same) {
             view.freshness.note_newest(asked_at - *update.configuration_age, relay.host);
         }
+        if (update.configuration_version && update.configuration_position) {
+            view.note_shown({*update.configuration_version, *update.configuration_position});
+        }
         view.note_upstreams_current(asked_at);
         view.upstreams.extend_grace(base::monotonic_clock::now(), update.grace_left);
         if (update.complete) {
--- a/linnetlane/router/router_metrics.cpp
+++ b/linnetlane/router/router_metrics.cpp
@@ -182,7 +182,11 @@
                                 "Questions to the hosts that keep quotas, by answer.")},
       configuration_age{&gauge(*this->registry, "linnetlane_configuration_age_seconds",
                                "Since the configuration in force was known to be the newest one; "
-                               "no number if it never was.")} {
+                               "no number if it never was.")},
+      unconfirmed{&counters(*this->registry, "linnetlane_unconfirmed_requests_total",
+                            "Requests that were handled by a configuration that wasn't known to be "
+                            "the newest one within the bound on changes.")
+                       .Add({})} {
     this->set_configuration_age(std::nullopt);
 }
 
@@ -285,6 +289,10 @@
                                      : std::numeric_limits<double>::quiet_NaN());
 }
 
+auto router_metrics::count_unconfirmed() -> void {
+    this->unconfirmed->Increment();
+}
+
 auto router_metrics::scrape() const -> std::string {
     return prometheus::TextSerializer{}.Serialize(this->registry->Collect());
 }
--- a/linnetlane/router/router_metrics.h
+++ b/linnetlane/router/router_metrics.h
@@ -105,6 +105,9 @@
     // never was.
     auto set_configuration_age(std::optional<base::duration> age) -> void;
 
+    // Counts a request that was handled by a configuration that wasn't known to be the newest one.
+    auto count_unconfirmed() -> void;
+
     // Returns all metrics in the Prometheus text format.
     [[nodiscard]] auto scrape() const -> std::string;
 
@@ -131,6 +134,7 @@
     prometheus::Family<prometheus::Counter>* account_requests;
     prometheus::Family<prometheus::Counter>* quota_questions;
     prometheus::Gauge* configuration_age;
+    prometheus::Counter* unconfirmed;
 };
 
 }  // namespace linnetlane::router
--- a/linnetlane/router/routing_view.h
+++ b/linnetlane/router/routing_view.h
@@ -67,6 +67,13 @@
     routing::isolation_detector isolation;
 };
 
+// What the registry has shown of the configuration up to a position.
+struct shown_configuration {
+    // Nothing if there is none or it can't be read.
+    std::optional<routing::configuration_version> version;
+    registry_position position;
+};
+
 // Not thread-safe; must be used on one worker only.
 class routing_view {
 public:
@@ -108,6 +115,16 @@
     // Records the number of hosts of all data centres. Within the window of the retry budget, the
     // largest number holds, since hosts that have left may have used their share.
     auto note_hosts(std::size_t count, base::time_point now) -> void;
+    // Records what the registry has shown, unless a later position is known.
+    auto note_shown(shown_configuration const& seen) -> void {
+        if (!this->shown || this->shown->position < seen.position) {
+            this->shown = seen;
+        }
+    }
+    // Returns what the registry, or a host that reads it, has shown last.
+    [[nodiscard]] auto last_shown() const -> std::optional<shown_configuration> const& {
+        return this->shown;
+    }
     // Records that the upstreams of this view were those of the registry at `moment`. After a long
     // time without such a record, changes may have been missed.
     auto note_upstreams_current(base::boot_clock::time_point moment) -> void;
@@ -175,6 +192,7 @@
     // A version that comes and leaves within this time may be missed.
     static constexpr auto longest_unobserved = std::chrono::seconds{5};
 
+    std::optional<shown_configuration> shown;
     std::optional<base::boot_clock::time_point> upstreams_current_at;
     // Until this time a smaller number of hosts is ignored.
     base::time_point peak_hosts_until;
--- a/linnetlane/routing/configuration_freshness.h
+++ b/linnetlane/routing/configuration_freshness.h
@@ -42,6 +42,8 @@
                                      now - *this->newest_at)}
                                : std::nullopt;
     }
+    // Returns the last moment at which the configuration was known to be the newest one, if any.
+    [[nodiscard]] auto last_proven() const -> std::optional<time_point> { return this->newest_at; }
     // Returns the host that stated the last proof; empty if it was the registry or there is none.
     [[nodiscard]] auto told_by() const -> base::host_id const& { return this->source; }
     // Returns whether that moment is no longer ago than `bound`.
