Cell: refuse by a request's own time and its caller's share, not by the lengths of others

What callers saw: while a cell was busy, a caller with time left was refused because the prompts of others were long, and by a rhythm that depended on how often prompts of its length had been refused before. The first request of a caller in each band of lengths passed, whatever its time, and the same request of a caller that had been refused once didn't.

Cause: the gate thinned out all work once the predicted wait exceeded half of what the longest prompts tolerate (`accepted_fraction`, the 95th percentile of lengths), by credits for each caller and each of twelve bands of lengths, and admitted less of the lengths that were refused less often than the mean (`balanced`). It made refusal rates look alike. Nothing kept the room that a refused short prompt left for a long one, so nobody was served by it.

Change: a request is refused if it can't be done by its own deadline. The gate has one task left, fair shares: a caller that takes more than its share while others ask for less is refused once the wait exceeds half of what its own request can afford. The share is measured by the work that was accepted for the caller, so there are no credits. A caller that asks for no more than the others isn't refused. Later attempts at an accepted request still aren't asked about shares; a caller that comes back is a new request and is.

Ruled out: keeping the bands with gain 0 (callers with time left are still thinned out by the longest prompt's tolerance).

--- a/linnetlane/cell/fair_share.cpp
+++ b/linnetlane/cell/fair_share.cpp
@@ -12,8 +12,11 @@
 constexpr double decay_seconds = 5;
 // How long a computed level is reused.
 constexpr base::duration level_period = std::chrono::milliseconds{250};
-// A larger change of the accepted fraction recomputes the level at once.
+// A larger change of the acceptable fraction recomputes the level at once.
 constexpr double level_tolerance = 0.05;
+// Callers whose demands differ by less than this part count as equal: demand varies with the
+// moments at which requests arrive.
+constexpr double share_tolerance = 0.1;
 // Demand up to which a caller counts as idle.
 constexpr double negligible_work = 1e-9;
 
@@ -30,31 +33,42 @@
 auto fair_share::add_demand(base::caller_id const& caller, double work, base::time_point now)
     -> void {
     auto& own = this->demands[caller];
-    own.work = decayed(own.work, own.as_of, now) + work;
-    own.as_of = now;
+    decay(own, now);
+    own.work += work;
 }
 
-auto fair_share::accepted_fraction_of(base::caller_id const& caller, double accepted,
-                                      base::time_point now) -> double {
-    if (accepted >= 1) {
-        return 1;
+auto fair_share::add_accepted(base::caller_id const& caller, double work, base::time_point now)
+    -> void {
+    auto& own = this->demands[caller];
+    decay(own, now);
+    own.accepted += work;
+}
+
+auto fair_share::decay(demand& one, base::time_point now) -> void {
+    one.work = decayed(one.work, one.as_of, now);
+    one.accepted = decayed(one.accepted, one.as_of, now);
+    one.as_of = now;
+}
+
+auto fair_share::is_exceeded(base::caller_id const& caller, double acceptable, base::time_point now)
+    -> bool {
+    if (acceptable >= 1) {
+        return false;
     }
-    auto const moved = std::abs(accepted - this->level_fraction) > level_tolerance;
+    auto const moved = std::abs(acceptable - this->level_fraction) > level_tolerance;
     if (now >= this->level_until || moved) {
-        this->update_level(accepted, now);
+        this->update_level(acceptable, now);
     }
     auto const found = this->demands.find(caller);
     if (found == this->demands.end()) {
-        return 1;
+        return false;
     }
-    auto const work = decayed(found->second.work, found->second.as_of, now);
-    if (work <= negligible_work) {
-        return 1;
-    }
-    return std::clamp(this->level * found->second.weight / work, 0.0, 1.0);
+    auto const& own = found->second;
+    auto const share = this->level * own.weight;
+    return own.takes_more && decayed(own.accepted, own.as_of, now) >= share;
 }
 
-auto fair_share::update_level(double accepted, base::time_point now) -> void {
+auto fair_share::update_level(double acceptable, base::time_point now) -> void {
     struct contender {
         double per_weight;
         double weight;
@@ -68,7 +82,7 @@
             continue;
         }
         contenders.push_back({work / one.weight, one.weight});
-        left += work * accepted;
+        left += work * acceptable;
         weights += one.weight;
     }
     std::sort(contenders.begin(), contenders.end(),
@@ -82,7 +96,11 @@
         left -= one.per_weight * one.weight;
         weights -= one.weight;
     }
-    this->level_fraction = accepted;
+    for (auto& [caller, one] : this->demands) {
+        auto const even_cut = acceptable * decayed(one.work, one.as_of, now);
+        one.takes_more = this->level * one.weight < even_cut * (1 - share_tolerance);
+    }
+    this->level_fraction = acceptable;
     this->level_until = now + level_period;
 }
 
--- a/linnetlane/cell/scheduler.cpp
+++ b/linnetlane/cell/scheduler.cpp
@@ -98,8 +98,6 @@
     view.interactive_wait = wait_of(base::priority_class::interactive);
     view.batch_wait = wait_of(base::priority_class::batch);
     view.free_pieces = base::piece_count{this->pool.free_pieces()};
-    auto const wait = std::max(view.interactive_wait, this->queue_delay());
-    view.accepted_fraction.value = admission_gate::accepted_fraction(wait, this->tolerable_wait());
     view.starting = this->starting;
     return view;
 }
--- a/linnetlane/cell/scheduler.h
+++ b/linnetlane/cell/scheduler.h
@@ -124,8 +124,6 @@
     base::duration interactive_wait{};
     base::duration batch_wait{};
     base::piece_count free_pieces;
-    // The fraction of new interactive work that is admitted.
-    base::fraction accepted_fraction{1};
     bool starting = false;
 };
 
@@ -173,8 +171,6 @@
     [[nodiscard]] auto prefill_wait(base::priority_class priority) const -> base::duration;
     [[nodiscard]] auto decode_wait(base::priority_class priority, base::piece_count pieces) const
         -> base::duration;
-    [[nodiscard]] auto queue_delay() const -> base::duration;
-    [[nodiscard]] auto tolerable_wait() const -> base::duration;
     [[nodiscard]] auto reason_to_refuse(acquire const& message, prediction const& expected)
         -> std::optional<refusal>;
     [[nodiscard]] auto retry_time(prediction const& expected, acquire const& message) const
@@ -264,8 +260,6 @@
     admission_gate gate;
     // Indexed by priority class.
     std::array<sized_confidence, 2> confidence;
-    // Prompt lengths of interactive requests, in tokens.
-    sample_window<64> prompt_lengths;
     // Seconds that answers spend in a decode engine, from which the release rate is predicted.
     sample_window<64> residences;
 
--- a/linnetlane/cell/scheduler_admission.cpp
+++ b/linnetlane/cell/scheduler_admission.cpp
@@ -19,10 +19,6 @@
 // A batch request is accepted if it meets its target even when it waits 5/4 of the predicted time.
 constexpr std::int64_t batch_wait_numerator = 5;
 constexpr std::int64_t batch_wait_denominator = 4;
-// The quantile of prompt lengths whose slack bounds the length of the queue.
-constexpr double long_prompt_rank = 0.95;
-// Lower bound on the tolerable wait.
-constexpr base::duration min_tolerable_wait = std::chrono::milliseconds{60};
 
 }  // namespace
 
@@ -45,9 +41,6 @@
         this->grant_kept_result(message);
         return;
     }
-    if (message.priority == base::priority_class::interactive) {
-        this->prompt_lengths.add(static_cast<double>(message.prompt.value));
-    }
     auto const expected = this->predict(message);
     if (auto const reason = this->reason_to_refuse(message, expected)) {
         this->refuse_now(message, *reason, this->retry_time(expected, message));
@@ -147,49 +140,27 @@
     return base::from_seconds(static_cast<double>(missing) * residence / all);
 }
 
-// The wait of one of the longest prompts behind the queued request with the least slack. Zero
-// unless decode memory is contended.
-auto scheduler::queue_delay() const -> base::duration {
-    auto const* first = this->interactive.first();
-    if (first == nullptr || !this->decode_contended) {
-        return base::duration::zero();
-    }
-    return this->tolerable_wait() - (first->latest_start - this->now);
-}
-
-auto scheduler::tolerable_wait() const -> base::duration {
-    auto const length = this->prompt_lengths.quantile(long_prompt_rank).value_or(0);
-    auto const prompt = base::token_count{static_cast<std::int64_t>(length)};
-    auto const average_engine = engine_samples{};
-    auto const service = this->learned.prefill_time(prompt, average_engine) +
-                         this->learned.prefill_spread(prompt) +
-                         this->learned.transfer_time(prompt, average_engine);
-    return std::max<base::duration>(min_tolerable_wait, this->targets.first_token - service);
-}
-
 auto scheduler::reason_to_refuse(acquire const& message, prediction const& expected)
     -> std::optional<refusal> {
     auto const urgent = message.priority == base::priority_class::interactive;
+    auto const work = base::to_seconds(expected.service);
+    // Later attempts of this host at a request that has been accepted already. A caller that comes
+    // back after a refusal makes a new request.
+    auto const was_accepted = message.attempt.number.value > 1 || !message.avoid.empty();
+    auto const shared =
+        urgent && !was_accepted && std::holds_alternative<decode_first>(this->options.policy);
+    if (shared) {
+        this->gate.note_demand(message.caller, work, this->now);
+    }
     auto const wait =
         urgent ? expected.wait : expected.wait * batch_wait_numerator / batch_wait_denominator;
-    auto const done = this->now + wait + expected.service;
-    auto const late = done > message.first_token_deadline;
-    auto const first_number = message.attempt.number.value <= 1;
-    auto const retried = !first_number || !message.avoid.empty();
-    auto const is_default_policy = std::holds_alternative<decode_first>(this->options.policy);
-    if (urgent && !retried && is_default_policy) {
-        auto const pressure = std::max(expected.wait, this->queue_delay());
-        auto const decision = this->gate.decide(
-            message.caller, message.prompt, base::to_seconds(expected.service), pressure,
-            this->tolerable_wait(), this->interactive.size() > 0, this->now);
-        if (decision != admission_decision::admitted) {
-            return decision == admission_decision::over_share ? refusal::over_share
-                                                              : refusal::overloaded;
-        }
-    }
-    if (late) {
+    auto const affordable = message.first_token_deadline - this->now - expected.service;
+    if (wait > affordable) {
         return refusal::overloaded;
     }
+    if (shared && !this->gate.admits(message.caller, work, wait, affordable, this->now)) {
+        return refusal::over_share;
+    }
     return std::nullopt;
 }
 
@@ -215,9 +186,6 @@
 auto scheduler::refuse_now(acquire const& message, refusal reason, base::time_point retry_at)
     -> void {
     this->refusals[static_cast<std::size_t>(reason)] += 1;
-    if (message.priority == base::priority_class::interactive) {
-        this->gate.record_outcome(message.prompt, true);
-    }
     this->commands.emplace_back(refuse{message.attempt, message.holder, reason, retry_at});
     this->remember_ended(message.attempt);
 }
--- a/linnetlane/cell/scheduler_dispatch.cpp
+++ b/linnetlane/cell/scheduler_dispatch.cpp
@@ -231,9 +231,6 @@
     auto& added = this->grants.insert(entry);
     this->predict_end(added);
     this->granted_count += 1;
-    if (message.priority == base::priority_class::interactive) {
-        this->gate.record_outcome(message.prompt, false);
-    }
     this->booked_count += where.ready ? 0 : 1;
     auto answer = grant{};
     answer.attempt = message.attempt;
--- a/linnetlane/cell/scheduler_test.cpp
+++ b/linnetlane/cell/scheduler_test.cpp
@@ -289,5 +289,20 @@
     BOOST_TEST(answers == 1U);
 }
 
+BOOST_FIXTURE_TEST_CASE(a_caller_with_time_left_is_admitted_though_longer_prompts_are_refused,
+                        fixture) {
+    for (auto number = std::uint64_t{1}; number <= 2; ++number) {
+        this->send(make_acquire(number, this->now, 16'000));
+    }
+    for (auto number = std::uint64_t{3}; number < 10; ++number) {
+        BOOST_TEST(
+            commands_of<refuse>(this->send(make_acquire(number, this->now, 30'000))).size() == 1U);
+    }
+    for (auto number = std::uint64_t{10}; number < 20; ++number) {
+        BOOST_TEST(this->send(make_acquire(number, this->now, 2000)).empty());
+    }
+    BOOST_TEST(this->cell.snapshot().interactive_waiting == 10U);
+}
+
 }  // namespace
 }  // namespace linnetlane::cell
