Cell: a request waits only for those that go before it

What callers saw: a long prompt was refused behind a queue of short ones, though it would have started before them and been done in time.

Cause: the predicted wait was the work of the whole queue. The queue is ordered by the latest start, and a long prompt, whose own work takes more of the same time, goes before short ones that can wait longer.

Change: the prediction counts the work of those that go before the request, and for batch requests all interactive ones. What it displaces is refused once its own latest start has passed.

Where decode memory is the limit, long prompts still lose: small ones take what becomes free.

--- a/linnetlane/cell/scheduler.cpp
+++ b/linnetlane/cell/scheduler.cpp
@@ -91,12 +91,15 @@
 
 auto scheduler::summary() const -> scheduler_summary {
     auto view = scheduler_summary{};
-    auto const piece = base::piece_count{1};
-    auto const wait_of = [&](base::priority_class priority) {
-        return std::max(this->prefill_wait(priority), this->decode_wait(priority, piece));
+    auto const wait_behind = [&](base::piece_count pieces, double prefill_seconds) {
+        return std::max(this->prefill_wait(prefill_seconds),
+                        this->decode_wait(pieces + base::piece_count{1}));
     };
-    view.interactive_wait = wait_of(base::priority_class::interactive);
-    view.batch_wait = wait_of(base::priority_class::batch);
+    auto const pieces = this->interactive.pieces();
+    auto const prefill_seconds = this->interactive.prefill_seconds();
+    view.interactive_wait = wait_behind(pieces, prefill_seconds);
+    view.batch_wait =
+        wait_behind(pieces + this->batch.pieces(), prefill_seconds + this->batch.prefill_seconds());
     view.free_pieces = base::piece_count{this->pool.free_pieces()};
     view.starting = this->starting;
     return view;
--- a/linnetlane/cell/scheduler.h
+++ b/linnetlane/cell/scheduler.h
@@ -168,9 +168,11 @@
     [[nodiscard]] auto with_satisfiable_avoid(acquire message) const -> acquire;
     [[nodiscard]] auto pieces_of(acquire const& message) const -> base::piece_count;
     [[nodiscard]] auto predict(acquire const& message) const -> prediction;
-    [[nodiscard]] auto prefill_wait(base::priority_class priority) const -> base::duration;
-    [[nodiscard]] auto decode_wait(base::priority_class priority, base::piece_count pieces) const
-        -> base::duration;
+    [[nodiscard]] auto work_before(acquire const& message, base::duration service) const
+        -> queued_work;
+    // The waits for engines behind queued work of that size.
+    [[nodiscard]] auto prefill_wait(double queued_seconds) const -> base::duration;
+    [[nodiscard]] auto decode_wait(base::piece_count queued) const -> base::duration;
     [[nodiscard]] auto reason_to_refuse(acquire const& message, prediction const& expected)
         -> std::optional<refusal>;
     [[nodiscard]] auto retry_time(prediction const& expected, acquire const& message) const
--- a/linnetlane/cell/scheduler_admission.cpp
+++ b/linnetlane/cell/scheduler_admission.cpp
@@ -20,6 +20,10 @@
 constexpr std::int64_t batch_wait_numerator = 5;
 constexpr std::int64_t batch_wait_denominator = 4;
 
+auto latest_start_of(acquire const& message, base::duration service) -> base::time_point {
+    return message.first_token_deadline - service - start_margin;
+}
+
 }  // namespace
 
 auto scheduler::on(acquire const& received) -> void {
@@ -104,31 +108,36 @@
     expected.service = expected.prefill + expected.transfer +
                        this->learned.prefill_spread(message.prompt) +
                        this->learned.decode_interval(full, average_engine);
-    auto const in_prefill = this->prefill_wait(message.priority);
-    auto const in_decode = this->decode_wait(message.priority, this->pieces_of(message));
+    auto const ahead = this->work_before(message, expected.service);
+    auto const in_prefill = this->prefill_wait(ahead.prefill_seconds);
+    auto const in_decode = this->decode_wait(ahead.pieces + this->pieces_of(message));
     expected.wait = std::max(in_prefill, in_decode - expected.prefill);
     return expected;
 }
 
-auto scheduler::prefill_wait(base::priority_class priority) const -> base::duration {
+// Returns the work that engines do before `message` gets its turn: requests wait in the order of
+// their latest start, and batch work behind all interactive requests.
+auto scheduler::work_before(acquire const& message, base::duration service) const -> queued_work {
+    auto const latest_start = latest_start_of(message, service);
+    if (message.priority == base::priority_class::interactive) {
+        return this->interactive.work_before(latest_start);
+    }
+    auto work = this->batch.work_before(latest_start);
+    work.pieces += this->interactive.pieces();
+    work.prefill_seconds += this->interactive.prefill_seconds();
+    return work;
+}
+
+auto scheduler::prefill_wait(double queued_seconds) const -> base::duration {
     auto const& order = this->pool.by_idle();
     if (order.empty()) {
         return base::duration::zero();
     }
-    auto queued = this->interactive.prefill_seconds();
-    if (priority == base::priority_class::batch) {
-        queued += this->batch.prefill_seconds();
-    }
     auto const idle = std::max(base::duration::zero(), order.begin()->first - this->now);
-    return idle + base::from_seconds(queued / static_cast<double>(order.size()));
+    return idle + base::from_seconds(queued_seconds / static_cast<double>(order.size()));
 }
 
-auto scheduler::decode_wait(base::priority_class priority, base::piece_count pieces) const
-    -> base::duration {
-    auto queued = this->interactive.pieces() + pieces;
-    if (priority == base::priority_class::batch) {
-        queued += this->batch.pieces();
-    }
+auto scheduler::decode_wait(base::piece_count queued) const -> base::duration {
     auto const missing = queued.value - this->pool.free_pieces();
     if (missing <= 0 || this->decode_engines.empty()) {
         return base::duration::zero();
@@ -176,7 +185,7 @@
     request.acquire = message;
     request.pieces = this->pieces_of(message);
     request.arrived = this->now;
-    request.latest_start = message.first_token_deadline - expected.service - start_margin;
+    request.latest_start = latest_start_of(message, expected.service);
     request.prefill_seconds = base::to_seconds(expected.prefill);
     auto const urgent = message.priority == base::priority_class::interactive;
     auto& queue = urgent ? this->interactive : this->batch;
--- a/linnetlane/cell/scheduler_dispatch.cpp
+++ b/linnetlane/cell/scheduler_dispatch.cpp
@@ -359,7 +359,7 @@
         this->confidence_for(entry.pieces, entry.priority).record_loss(entry.prompt);
     }
     this->refusals[static_cast<std::size_t>(refusal::booking_failed)] += 1;
-    auto const backlog = this->decode_wait(base::priority_class::interactive, entry.pieces);
+    auto const backlog = this->decode_wait(this->interactive.pieces() + entry.pieces);
     auto const retry_at = this->now + std::max<base::duration>(backlog, abort_interval);
     this->commands.emplace_back(
         refuse{entry.attempt, entry.holder, refusal::booking_failed, retry_at});
--- a/linnetlane/cell/scheduler_test.cpp
+++ b/linnetlane/cell/scheduler_test.cpp
@@ -304,5 +304,19 @@
     BOOST_TEST(this->cell.snapshot().interactive_waiting == 10U);
 }
 
+BOOST_FIXTURE_TEST_CASE(a_long_prompt_waits_only_for_those_that_go_before_it, fixture) {
+    for (auto number = std::uint64_t{1}; number <= 2; ++number) {
+        this->send(make_acquire(number, this->now, 16'000));
+    }
+    for (auto number = std::uint64_t{3}; number < 13; ++number) {
+        BOOST_TEST(this->send(make_acquire(number, this->now, 2000)).empty());
+    }
+    BOOST_TEST(this->send(make_acquire(13, this->now, 12'000)).empty());
+    this->now += milliseconds{790};
+    auto const granted = commands_of<grant>(this->send(tick{}));
+    BOOST_TEST_REQUIRE(!granted.empty());
+    BOOST_TEST((granted[0].attempt == attempt_of(13)));
+}
+
 }  // namespace
 }  // namespace linnetlane::cell
--- a/linnetlane/cell/waiting_queue.cpp
+++ b/linnetlane/cell/waiting_queue.cpp
@@ -31,6 +31,18 @@
     return after;
 }
 
+auto waiting_queue::work_before(base::time_point latest_start) const -> queued_work {
+    auto work = queued_work{};
+    for (auto const& [place, request] : this->requests) {
+        if (place.first > latest_start) {
+            break;
+        }
+        work.pieces += request.pieces;
+        work.prefill_seconds += request.prefill_seconds;
+    }
+    return work;
+}
+
 auto waiting_queue::attempts_of(base::host_id const& host, base::incarnation incarnation) const
     -> std::vector<attempt> {
     auto found = std::vector<attempt>{};
--- a/linnetlane/cell/waiting_queue.h
+++ b/linnetlane/cell/waiting_queue.h
@@ -28,6 +28,13 @@
     double prefill_seconds = 0;
 };
 
+// Predicted work of queued requests.
+struct queued_work {
+    base::piece_count pieces;
+    // Time on a prefill engine.
+    double prefill_seconds = 0;
+};
+
 // Waiting requests in ascending order of `latest_start`, with totals of their predicted work.
 class waiting_queue {
 public:
@@ -51,6 +58,8 @@
         return this->places.contains(target);
     }
     [[nodiscard]] auto size() const -> std::size_t { return this->requests.size(); }
+    // Returns the work of the requests that go before one whose latest start is `latest_start`.
+    [[nodiscard]] auto work_before(base::time_point latest_start) const -> queued_work;
     // Totals over the queue.
     [[nodiscard]] auto pieces() const -> base::piece_count { return this->queued_pieces; }
     [[nodiscard]] auto prefill_seconds() const -> double { return this->queued_seconds; }
