Ranking: a caller that comes back ranks like one that comes first

What callers saw: with `generation.ranked`, a caller that had been refused was placed behind first tries of the same priority, asked one engine only, and was sent away for longer.

Cause: `waiting_callers` took the longest deadline seen on a route for that of a first try, and whoever allowed less by the target latency or more for late.

Change: a rank is the account's priority and the route's, as the configuration states them. Retry-After of an outranked caller follows from its time left alone.

--- a/linnetlane/router/generation_forwarder.h
+++ b/linnetlane/router/generation_forwarder.h
@@ -270,16 +270,11 @@
     // ask for that.
     auto rank_request() -> void {
         auto& view = this->context.host.view;
-        auto const& route = this->context.route;
         if (this->context.resumes || !this->context.host.settings.generation.ranked ||
             !view.ranks_requests(this->context.service)) {
             return;
         }
-        auto const* const account = this->context.account();
-        auto const allowed = this->context.caller.timeout.value_or(route.timeout);
-        this->rank = routing::request_rank{account == nullptr ? 0 : account->priority.value_or(0),
-                                           route.priority,
-                                           this->context.state().callers.is_late(route, allowed)};
+        this->rank = routing::rank_request(this->context.route, this->context.account());
     }
 
     auto engines_to_ask(base::time_point now) -> std::size_t {
@@ -292,7 +287,7 @@
 
     // Tells all hosts if the search shows that room is scarce for the rank of the request.
     auto note_search(std::size_t asked, std::size_t engines, bool found) -> void {
-        if (!this->rank || this->rank->late || this->outranked_until ||
+        if (!this->rank || this->outranked_until ||
             !routing::is_hard_search(asked, engines, found)) {
             return;
         }
@@ -824,13 +819,11 @@
         if (!this->outranked_until) {
             return soon;
         }
-        // A caller whose target can still be met comes back while it can.
+        // The rest of its time is left for the retry.
         constexpr auto share_of_time_left = 0.3;
         auto const now = base::monotonic_clock::now();
         auto const most = std::chrono::duration_cast<base::duration>(
-            (this->rank->late ? this->context.answer_by() - now
-                              : this->context.route.target_latency) *
-            share_of_time_left);
+            (this->context.answer_by() - now) * share_of_time_left);
         // Spread, so that those who return together are few.
         auto const wait = std::chrono::duration_cast<base::duration>(
             (*this->outranked_until - now) * (0.5 + view.draw()));
--- a/linnetlane/router/routing_view.h
+++ b/linnetlane/router/routing_view.h
@@ -59,7 +59,6 @@
     routing::prefill_limiter prefill_limits;
     // Of requests with different priorities.
     routing::room_scarcity scarcity;
-    routing::waiting_callers callers;
     routing::retry_budget retries;
     routing::admission_controller admission;
     routing::version_history versions;
--- a/linnetlane/routing/request_ranking.cpp
+++ b/linnetlane/routing/request_ranking.cpp
@@ -34,6 +34,10 @@
 
 }  // namespace
 
+auto rank_request(route const& on, client_account const* account) -> request_rank {
+    return request_rank{account == nullptr ? 0 : account->priority.value_or(0), on.priority};
+}
+
 auto to_string(request_rank const& rank) -> std::string {
     return fmt::format("{}/{}", std::clamp(rank.account_priority, 0, max_priority),
                        std::clamp(rank.route_priority, 0, max_priority));
@@ -46,7 +50,7 @@
     }
     auto const account = parse_priority(text.substr(0, slash));
     auto const route = parse_priority(text.substr(slash + 1));
-    return account && route ? std::optional{request_rank{*account, *route, false}} : std::nullopt;
+    return account && route ? std::optional{request_rank{*account, *route}} : std::nullopt;
 }
 
 auto ranks_requests(configuration const& in_force, base::service_id const& service) -> bool {
@@ -64,12 +68,6 @@
     return !found || asked * hard_share > engines;
 }
 
-auto waiting_callers::is_late(route const& on, base::duration allowed) -> bool {
-    auto& longest = this->longest_allowed[on.name];
-    longest = std::max(longest, std::min(allowed, on.timeout));
-    return longest - allowed >= on.target_latency;
-}
-
 auto room_scarcity::note(request_rank const& rank, base::time_point observed_at) -> void {
     auto& until = this->scarce_until[rank];
     until = std::max(until, observed_at + lifetime);
--- a/linnetlane/routing/request_ranking.h
+++ b/linnetlane/routing/request_ranking.h
@@ -1,5 +1,5 @@
-// Ranks the requests of a service by what their refusal costs callers, and decides how widely each
-// may search for room while there is too little of it.
+// Ranks the requests of a service by the priorities that the configuration gives accounts and
+// routes, and decides how widely each may search for room while there is too little of it.
 //
 // A request that has to ask many engines before one has room shows that room is scarce for its
 // rank. While that is so, requests that rank behind it ask few engines, and so find room only if
@@ -30,15 +30,16 @@
     // 0 is the most urgent. An account's priority goes before that of a route.
     int account_priority = 0;
     int route_priority = 0;
-    // The target latency can't be met any more.
-    bool late = false;
 
     friend auto operator<=>(request_rank const&, request_rank const&)
         -> std::strong_ordering = default;
 };
 
-// Formats a rank that isn't late as `ACCOUNT/ROUTE`, and parses that. Returns nullopt if `text` has
-// another format.
+// Returns the rank of a request on a route, for an account if there are any. Whether the caller has
+// been refused before doesn't count.
+[[nodiscard]] auto rank_request(route const& on, client_account const* account) -> request_rank;
+
+// Formats a rank as `ACCOUNT/ROUTE`, and parses that. Returns nullopt if `text` has another format.
 [[nodiscard]] auto to_string(request_rank const& rank) -> std::string;
 [[nodiscard]] auto parse_rank(std::string_view text) -> std::optional<request_rank>;
 
@@ -53,26 +54,13 @@
 // Returns whether a search that asked `asked` of `engines` engines shows that room is scarce.
 [[nodiscard]] auto is_hard_search(std::size_t asked, std::size_t engines, bool found) -> bool;
 
-// Knows whether callers have come back after a refusal, by the time that they allow. Not
-// thread-safe; must be used on one worker only.
-class waiting_callers {
-public:
-    // Returns whether a caller that allows `allowed` from now on has waited so long that the target
-    // latency can't be met any more: others on that route allow more.
-    [[nodiscard]] auto is_late(route const& on, base::duration allowed) -> bool;
-
-private:
-    // The longest time that callers allowed on a route.
-    std::map<route_name, base::duration> longest_allowed;
-};
-
 // For which ranks of a service room is scarce. Not thread-safe; must be used on one worker only.
 class room_scarcity {
 public:
     // How long an observation holds: about the length of a run, after which room has become free.
     static constexpr auto lifetime = std::chrono::seconds{3};
 
-    // Records that room was scarce for `rank`, which isn't late.
+    // Records that room was scarce for `rank`.
     auto note(request_rank const& rank, base::time_point observed_at) -> void;
     // Returns until when the rank is behind one for which room is scarce, or nothing if it isn't.
     [[nodiscard]] auto outranked_until(request_rank const& rank, base::time_point now) const
