Generations wait for room as long as their callers have time

What callers saw: a generation was refused within milliseconds while engines were full, though its caller waits for 3.6 s for the first event and allows 14 s in all. Refused callers came back a few tenths of a second later to the same full engines, and had no tries left.

Cause: the forwarder knew the target latency only. It searched once, refused if a prefill wasn't expected within 0.85 of the target, and asked for reservations for 0.4 of it. A stream in progress waited for up to the target, by a rule of its own.

Change: a request waits at its host while it can still be served: until the caller leaves the stream (`longest_pause`, from the route, also sent to hosts that follow another one), less its prefill, and until the rest of its deadline is needed for the answer, whose time is learned per expected token. Waiting requests of a service ask one at a time, streams in progress first and then by their latest start (`waiting_requests`); one whose turn is expected too late is refused at once, and so is one whose latest start has passed. A prompt is held back while the queues of prefill engines are longer than their reports stay valid, and while prefills are limited, instead of being refused. Prefills are given up after half of the time that is left, so that another engine can be tried.

--- a/linnetlane/protocol/router.thrift
+++ b/linnetlane/protocol/router.thrift
@@ -47,6 +47,8 @@
     12: i64 most_attempts,
     // Whether requests need no key.
     13: optional bool open_to_all,
+    // How long callers of a stream wait for its next event; not set by older hosts.
+    14: optional i64 longest_pause,
 }
 
 struct engine_shape {
--- a/linnetlane/router/generation_forwarder.h
+++ b/linnetlane/router/generation_forwarder.h
@@ -28,24 +28,24 @@
     // Engines answer reservations without waiting for other work; one that takes this long is
     // unreachable.
     static constexpr auto reservation_timeout = std::chrono::milliseconds{250};
-    // The share of the target latency in which reservations are attempted. The rest is left for the
-    // prefill.
-    static constexpr auto reservation_share_of_target = 0.4;
+    // The limit on one search for room: that of two engines which don't answer. Others may be
+    // reachable from another host.
+    static constexpr auto search_timeout = 2 * reservation_timeout;
     // The lower limit of the timeout of a prefill: enough for a long prompt behind two others.
     static constexpr auto min_prefill_timeout = std::chrono::milliseconds{900};
-    // The share of the target latency that a prefill may be expected to take. The rest is left for
-    // the reservation and the first event.
-    static constexpr auto prefill_share_of_target = 0.85;
-    // How long a stream that the caller has received in part waits for room, as a share of the
-    // target latency, and how often it asks meanwhile. New streams take what becomes free within
-    // that time, and its caller would return only a few times.
-    static constexpr auto room_wait_share_of_target = 1.0;
+    // The time from the end of a prefill to the first event: for the transfer to the decode engine
+    // and its first step.
+    static constexpr auto first_event_margin = std::chrono::milliseconds{100};
+    // How often a waiting request asks for room, and how many engines at a time. Room becomes free
+    // at an engine every few hundred milliseconds, and all hosts together ask.
     static constexpr auto room_check_interval = std::chrono::milliseconds{60};
+    static constexpr auto engines_per_check = std::size_t{8};
     // The number of attempts (reservation, prefill and decode) for one request.
     static constexpr auto max_tries = 3;
 
     explicit generation_forwarder(request_context const& own_context)
         : context{own_context}, relay{own_context}, required{own_context.required} {
+        this->expect_event_from(this->context.arrived);
         this->rank_request();
     }
 
@@ -105,11 +105,8 @@
             base::duration::zero()) {
             return attempt_result::no_capacity;
         }
-        if (!this->is_in_progress() && !this->prefill_is_timely({})) {
-            this->log_step({}, "prefill queues are too long");
-            return attempt_result::no_capacity;
-        }
-        if (!this->prefill_is_admitted()) {
+        if (!this->can_answer_in_time({})) {
+            this->log_step({}, "the caller has no time for the prefill queues");
             return attempt_result::no_capacity;
         }
         auto const reserved = this->reserve();
@@ -136,6 +133,38 @@
         return this->context.resumes || this->relay.started();
     }
 
+    // Callers leave unless an event comes within the longest pause after `from`.
+    auto expect_event_from(base::time_point from) -> void {
+        auto const pause = this->context.route.longest_pause;
+        this->event_by = pause > base::duration::zero()
+                             ? std::min(from + pause, this->context.deadline)
+                             : this->context.deadline;
+    }
+
+    // Returns when the prefill must end at the latest for the caller to be still there at the first
+    // event, and to get the whole answer in its time.
+    [[nodiscard]] auto prefill_by() const -> base::time_point {
+        auto const decode =
+            this->context.caller.size
+                ? this->context.state().generation.decode_time(*this->context.caller.size)
+                : base::duration::zero();
+        return std::min(this->event_by, this->context.answer_by() - decode) - first_event_margin;
+    }
+
+    // Returns when the prefill must start at the latest for that.
+    [[nodiscard]] auto latest_start() const -> base::time_point {
+        return this->prefill_by() - this->context.state().generation.prefill_time(this->prompt());
+    }
+
+    // Returns whether a prefill that begins now, at an engine outside of `tried`, is expected to
+    // end in time.
+    [[nodiscard]] auto can_answer_in_time(std::set<base::upstream_id> const& tried) const -> bool {
+        auto const now = base::monotonic_clock::now();
+        auto const expected =
+            this->context.state().generation.expected_prefill_time(tried, this->prompt(), now);
+        return now + expected <= this->prefill_by();
+    }
+
     // Returns whether the request may begin at an engine while this host shuts down. One that has
     // not run is better served by another host.
     [[nodiscard]] auto may_begin() const -> bool {
@@ -159,60 +188,98 @@
 
     // ---- Reservation ----
 
+    // Reserves memory. While engines have no room, the request waits as long as its caller can
+    // still be answered in time; it is refused at once if its turn is expected too late.
     auto reserve() -> std::optional<decode_reservation> {
-        if (!this->is_in_progress()) {
-            return this->reserve_once();
-        }
-        auto const until =
-            std::min(this->context.answer_by(),
-                     base::monotonic_clock::now() +
-                         std::chrono::duration_cast<base::duration>(
-                             this->context.route.target_latency * room_wait_share_of_target));
-        for (;;) {
-            auto reserved = this->reserve_if_timely();
-            if (reserved || !this->waits_for_room(until)) {
+        auto& waiting = this->context.state().waiting;
+        if (waiting.size() == 0) {
+            auto reserved =
+                this->reserve_if_open(this->context.host.settings.generation.engines_asked);
+            if (reserved || !this->may_find_room_later()) {
                 return reserved;
             }
         }
+        this->reservation_failure = attempt_result::no_capacity;
+        auto const since = base::monotonic_clock::now();
+        auto const place =
+            waiting.enter({this->is_in_progress() ? 0 : 1, this->latest_start()}, since);
+        if (!place) {
+            this->log_step({}, "too many requests wait for room");
+            return std::nullopt;
+        }
+        auto reserved = this->wait_for_room(*place);
+        auto const now = base::monotonic_clock::now();
+        waiting.leave(*place, reserved.has_value(), now);
+        this->waited += now - since;
+        return reserved;
     }
 
-    // Reserves memory if a prefill can be expected to end in time. One that is given up in the
-    // queue is made for nothing.
-    auto reserve_if_timely() -> std::optional<decode_reservation> {
-        if (this->prefill_is_timely({})) {
-            return this->reserve_once();
+    auto wait_for_room(routing::waiting_requests::place const& place)
+        -> std::optional<decode_reservation> {
+        while (this->may_wait_until(base::monotonic_clock::now() + room_check_interval)) {
+            if (!this->context.state().waiting.is_first(place)) {
+                continue;
+            }
+            auto reserved = this->reserve_if_open(engines_per_check);
+            if (reserved || !this->may_find_room_later()) {
+                return reserved;
+            }
         }
-        this->engines_known = !this->context.state()
-                                   .generation
-                                   .decode_candidates(1, this->context.host.view.draw(),
-                                                      base::monotonic_clock::now(), this->required)
-                                   .empty();
-        this->reservation_failure = attempt_result::no_capacity;
         return std::nullopt;
     }
 
-    // Suspends the calling fiber until engines are to be asked again. Returns false if there is no
-    // reason to.
-    auto waits_for_room(base::time_point until) -> bool {
-        auto const next = base::monotonic_clock::now() + room_check_interval;
-        auto const may_become_free =
-            this->reservation_failure == attempt_result::no_capacity && this->engines_known;
-        if (!may_become_free || next >= until) {
+    // Suspends the calling fiber until `next`. Returns false, with the reason in
+    // `reservation_failure`, if the request can't be served any more.
+    auto may_wait_until(base::time_point next) -> bool {
+        if (next >= this->latest_start()) {
+            this->reservation_failure = attempt_result::no_capacity;
             return false;
         }
         runtime::sleep_until(next);
+        this->reservation_failure = attempt_result::no_capacity;
         if (this->context.cancelled.cancelled()) {
             this->reservation_failure = attempt_result::caller_left;
         } else if (!this->may_begin()) {
             this->reservation_failure = attempt_result::leaving;
+        } else if (this->context.quarantine_refusal(base::monotonic_clock::now())) {
+            this->reservation_failure = attempt_result::quarantined;
+        } else if (!this->context.key_is_valid()) {
+            this->reservation_failure = attempt_result::key_in_doubt;
+        } else {
+            return this->can_answer_in_time({});
         }
-        return this->reservation_failure == attempt_result::no_capacity;
+        return false;
     }
 
-    auto reserve_once() -> std::optional<decode_reservation> {
+    // Returns whether there are engines that had no room, and may have some later.
+    [[nodiscard]] auto may_find_room_later() const -> bool {
+        return this->reservation_failure == attempt_result::no_capacity && this->engines_known;
+    }
+
+    // Reserves memory if a prefill may start now.
+    auto reserve_if_open(std::size_t engines) -> std::optional<decode_reservation> {
+        auto const now = base::monotonic_clock::now();
+        auto& state = this->context.state();
+        if (!state.generation.takes_prefill(this->prompt(), now) || !this->prefill_may_start(now)) {
+            this->engines_known =
+                !state.generation
+                     .decode_candidates(1, this->context.host.view.draw(), now, this->required)
+                     .empty();
+            this->reservation_failure = attempt_result::no_capacity;
+            return std::nullopt;
+        }
+        auto reserved = this->reserve_once(engines);
+        if (reserved) {
+            state.prefill_limits.note_start(this->prefill_rate(now), now);
+        }
+        return reserved;
+    }
+
+    auto reserve_once(std::size_t engines) -> std::optional<decode_reservation> {
         auto const now = base::monotonic_clock::now();
         auto const candidates = this->context.state().generation.decode_candidates(
-            this->engines_to_ask(now), this->context.host.view.draw(), now, this->required);
+            this->engines_to_ask(engines, now), this->context.host.view.draw(), now,
+            this->required);
         this->engines_known = !candidates.empty();
         auto const asked_before = this->engines_asked;
         auto reserved = this->search(candidates);
@@ -230,16 +297,13 @@
         auto& view = this->context.host.view;
         // Until an engine answers that it has no room.
         this->reservation_failure = attempt_result::unreachable;
-        auto const reserve_until =
-            base::monotonic_clock::now() +
-            std::chrono::duration_cast<base::duration>(this->context.route.target_latency *
-                                                       reservation_share_of_target);
+        auto const search_until = base::monotonic_clock::now() + search_timeout;
         for (auto const& id : candidates) {
             if (!this->may_begin()) {
                 this->reservation_failure = attempt_result::leaving;
                 return std::nullopt;
             }
-            if (base::monotonic_clock::now() >= reserve_until) {
+            if (base::monotonic_clock::now() >= search_until) {
                 return std::nullopt;
             }
             auto const* const record = view.upstreams.find(id);
@@ -277,8 +341,7 @@
         this->rank = routing::rank_request(this->context.route, this->context.account());
     }
 
-    auto engines_to_ask(base::time_point now) -> std::size_t {
-        auto const most = this->context.host.settings.generation.engines_asked;
+    auto engines_to_ask(std::size_t most, base::time_point now) -> std::size_t {
         this->outranked_until =
             this->rank ? this->context.state().scarcity.outranked_until(*this->rank, now)
                        : std::nullopt;
@@ -373,30 +436,25 @@
 
     // ---- Prefill ----
 
-    // Returns whether a prefill that begins now is expected to end early enough for the target
-    // latency. A request that joins a longer queue only delays the requests behind it.
-    auto prefill_is_timely(std::set<base::upstream_id> const& tried) const -> bool {
-        auto const expected = this->context.state().generation.expected_prefill_time(
-            tried, this->prompt(), base::monotonic_clock::now());
-        return expected <= this->context.route.target_latency * prefill_share_of_target;
+    // Returns this host's share of the prefills per second that the engines can sustain.
+    [[nodiscard]] auto prefill_rate(base::time_point now) const -> double {
+        return this->context.state().generation.prefill_rate(now) /
+               static_cast<double>(this->context.host.view.hosts);
     }
 
     // Returns whether this host may start a prefill while the engines are overloaded. A stream that
     // has begun is always continued.
-    auto prefill_is_admitted() -> bool {
+    auto prefill_may_start(base::time_point now) -> bool {
         if (this->is_in_progress()) {
             return true;
         }
-        auto const now = base::monotonic_clock::now();
-        auto& state = this->context.state();
-        auto const hosts = static_cast<double>(this->context.host.view.hosts);
-        auto const rate = state.generation.prefill_rate(now) / hosts;
-        if (state.prefill_limits.admits(rate, now)) {
+        auto const rate = this->prefill_rate(now);
+        if (this->context.state().prefill_limits.may_start(rate, now)) {
             return true;
         }
         constexpr auto thousandths = 1000.0;
         this->context.host.log.write(
-            telemetry::log_level::info, "refused: prefills are limited",
+            telemetry::log_level::debug, "prefills are limited",
             {this->context.caller.id,
              this->context.service,
              {"hosts", static_cast<std::int64_t>(this->context.host.view.hosts)},
@@ -475,7 +533,7 @@
             return false;
         }
         if (!this->context.allows_another_upstream(this->ends_before_answer) ||
-            !this->prefill_is_timely(tried)) {
+            !this->can_answer_in_time(tried)) {
             this->prefill_failure = attempt_result::no_capacity;
             return false;
         }
@@ -486,12 +544,9 @@
         return true;
     }
 
-    // The target of a stream in progress is missed in any case. After the loss of many hosts, such
-    // streams come at the same moment, and their prompts queue behind each other.
-    [[nodiscard]] auto prefill_timeout() const -> base::duration {
-        auto const usual =
-            std::max<base::duration>(min_prefill_timeout, this->context.route.target_latency);
-        return this->is_in_progress() ? 2 * usual : usual;
+    // Half of the time until the first event is due, so that another engine can be tried.
+    [[nodiscard]] auto prefill_timeout(base::time_point now) const -> base::duration {
+        return std::max<base::duration>(min_prefill_timeout, (this->event_by - now) / 2);
     }
 
     // Takes the record by value, since the registry may drop it during the prefill.
@@ -500,7 +555,7 @@
         auto const now = base::monotonic_clock::now();
         auto const ahead = pool.tokens_under_way(engine.id, now);
         pool.begin(engine.id, this->prompt());
-        auto const deadline = std::min(this->context.answer_by(), now + this->prefill_timeout());
+        auto const deadline = std::min(this->context.answer_by(), now + this->prefill_timeout(now));
         this->context.note_request_to(engine.id);
         // The engine drops the prompt if it hasn't begun by the deadline.
         auto const options = send_options{engine.id, deadline - now};
@@ -687,6 +742,7 @@
         this->decoded_at = reserved.engine.id;
         this->required = reserved.engine.software;
         auto const interrupted = outcome == relay_outcome::interrupted;
+        this->expect_event_from(base::monotonic_clock::now());
         this->context.state().generation.note_outcome(
             reserved.engine.id,
             interrupted ? routing::exchange_outcome::transport_failure
@@ -694,6 +750,7 @@
             base::monotonic_clock::now());
         switch (outcome) {
             case relay_outcome::complete:
+                this->note_decode_time();
                 return attempt_result::complete;
             case relay_outcome::caller_left:
                 return attempt_result::caller_left;
@@ -708,6 +765,15 @@
                                                                    : attempt_result::interrupted;
     }
 
+    // Records how long the answer took, unless a part of it came from another engine.
+    auto note_decode_time() -> void {
+        auto const began = this->relay.first_bytes_at();
+        if (began && this->context.caller.size && this->runs == 1 && !this->context.resumes) {
+            this->context.state().generation.note_decode_time(
+                *this->context.caller.size, base::monotonic_clock::now() - *began);
+        }
+    }
+
     auto forward_failure(opened_answer& opened) -> attempt_result {
         auto body = opened.stream.read_all(max_engine_answer_bytes, this->context.answer_by());
         if (base::failure_of(body) != nullptr) {
@@ -859,6 +925,7 @@
              {"reserved_tokens", this->reserved_tokens()},
              {"engines_asked", static_cast<std::int64_t>(this->engines_asked)},
              {"outranked", this->outranked_until.has_value()},
+             {"waited", this->waited},
              {"prefills", static_cast<std::int64_t>(this->prefills)},
              telemetry::field::named("prefilled_at", this->prefilled_at),
              telemetry::field::named("decoded_at", this->decoded_at),
@@ -881,6 +948,10 @@
     // The software version of the engines that the request may be sent to; nothing if it may be
     // any.
     std::optional<base::software_version> required;
+    // When the caller leaves unless it has received an event.
+    base::time_point event_by;
+    // The time for which the request waited for room.
+    base::duration waited{};
     std::size_t engines_asked = 0;
     // There are engines that may have room now or later.
     bool engines_known = false;
--- a/linnetlane/router/peer_codec.cpp
+++ b/linnetlane/router/peer_codec.cpp
@@ -84,6 +84,7 @@
     out.__set_priority(route.priority);
     out.__set_most_attempts(static_cast<std::int64_t>(route.max_attempts));
     out.__set_open_to_all(route.open_to_all);
+    out.__set_longest_pause(microseconds_of(route.longest_pause));
     return out;
 }
 
@@ -327,6 +328,9 @@
     route.priority = in.priority;
     route.max_attempts = amount(in.most_attempts);
     route.open_to_all = in.__isset.open_to_all && in.open_to_all;
+    if (in.__isset.longest_pause) {
+        route.longest_pause = span(in.longest_pause);
+    }
     return route;
 }
 
--- a/linnetlane/router/peers_test.cpp
+++ b/linnetlane/router/peers_test.cpp
@@ -121,6 +121,7 @@
         route.generates = *rc::gen::arbitrary<bool>();
         route.timeout = any_span();
         route.target_latency = any_span();
+        route.longest_pause = any_span();
         route.priority = *rc::gen::inRange(0, 10);
         route.max_attempts = *rc::gen::inRange<std::size_t>(0, 5);
         made.routes.push_back(route);
--- a/linnetlane/router/routing_view.h
+++ b/linnetlane/router/routing_view.h
@@ -35,6 +35,7 @@
 #include "linnetlane/routing/upstream_rate_limits.h"
 #include "linnetlane/routing/upstream_set.h"
 #include "linnetlane/routing/version_history.h"
+#include "linnetlane/routing/waiting_requests.h"
 
 namespace linnetlane::router {
 
@@ -59,6 +60,8 @@
     routing::prefill_limiter prefill_limits;
     // Of requests with different priorities.
     routing::room_scarcity scarcity;
+    // Waits until an upstream has room.
+    routing::waiting_requests waiting;
     routing::retry_budget retries;
     routing::admission_controller admission;
     routing::version_history versions;
--- a/linnetlane/routing/configuration.h
+++ b/linnetlane/routing/configuration.h
@@ -63,6 +63,9 @@
     // The target for the time from a request's arrival to its answer, or to the first event of a
     // stream.
     base::duration target_latency{};
+    // How long callers of a stream wait for its first event, or for the next one, before they
+    // leave; zero if that isn't known.
+    base::duration longest_pause{};
     // 0 is the most urgent.
     int priority = 0;
     // The number of times that one request may be executed by upstreams.
--- a/linnetlane/routing/configuration_check.cpp
+++ b/linnetlane/routing/configuration_check.cpp
@@ -239,6 +239,7 @@
     fields.compare("generates", before.generates, after.generates);
     fields.compare("timeout", before.timeout, after.timeout);
     fields.compare("target latency", before.target_latency, after.target_latency);
+    fields.compare("longest pause", before.longest_pause, after.longest_pause);
     fields.compare("priority", before.priority, after.priority);
     fields.compare("attempts", before.max_attempts, after.max_attempts);
     fields.compare("open to all", before.open_to_all, after.open_to_all);
--- a/linnetlane/routing/generation_pool.cpp
+++ b/linnetlane/routing/generation_pool.cpp
@@ -179,6 +179,14 @@
     this->note_prefill_time(prompt, ahead, base::from_seconds(seconds / slowness));
 }
 
+auto generation_pool::note_decode_time(generation_size const& size, base::duration took) -> void {
+    auto const tokens = expected_output(size);
+    if (tokens > 0 && took > base::duration::zero()) {
+        update_moving_mean(this->seconds_per_output_token, base::to_seconds(took) / tokens,
+                           newest_weight);
+    }
+}
+
 auto generation_pool::prefill_slowness(base::upstream_id const& id, base::time_point now) const
     -> double {
     auto const found = this->members.find(id);
--- a/linnetlane/routing/generation_pool.h
+++ b/linnetlane/routing/generation_pool.h
@@ -115,6 +115,19 @@
                                              base::token_count prompt, base::time_point now) const
         -> base::duration;
 
+    // Returns the time that a prefill of `prompt` tokens takes by itself at the engines' common
+    // speed; zero while that isn't known.
+    [[nodiscard]] auto prefill_time(base::token_count prompt) const -> base::duration {
+        return base::from_seconds(static_cast<double>(prompt.value) * this->seconds_per_token);
+    }
+    // Returns whether a prompt may be sent to a prefill engine now. Prompts wait at their hosts
+    // rather than in a queue that is longer than the engines' reports stay valid, whose length no
+    // host knows.
+    [[nodiscard]] auto takes_prefill(base::token_count prompt, base::time_point now) const -> bool {
+        return this->expected_prefill_time({}, prompt, now) <=
+               this->prefill_time(prompt) + load_report_validity;
+    }
+
     // Returns the prefills per second that the usable prefill engines can sustain; 0 if it is not
     // known.
     [[nodiscard]] auto prefill_rate(base::time_point now) const -> double;
@@ -129,6 +142,13 @@
     // without the pace of its machine; 1 while it isn't known.
     [[nodiscard]] auto prefill_slowness(base::upstream_id const& id, base::time_point now) const
         -> double;
+    // Records that a whole answer took `took` from its first event on.
+    auto note_decode_time(generation_size const& size, base::duration took) -> void;
+    // Returns the expected time of an answer from its first event on; zero while too little is
+    // known.
+    [[nodiscard]] auto decode_time(generation_size const& size) const -> base::duration {
+        return base::from_seconds(expected_output(size) * this->seconds_per_output_token);
+    }
     // Records that an engine did not finish a prefill within `waited`, so its queue is at least as
     // long.
     auto note_prefill_timeout(base::upstream_id const& id, base::duration waited,
@@ -205,6 +225,8 @@
     // The prefill time per token of an engine of the common speed that isn't slowed down by other
     // work, in seconds; 0 while unknown.
     double seconds_per_token = 0;
+    // The time per expected token of an answer, in seconds; 0 while unknown.
+    double seconds_per_output_token = 0;
 };
 
 }  // namespace linnetlane::routing
--- a/linnetlane/routing/pools_test.cpp
+++ b/linnetlane/routing/pools_test.cpp
@@ -315,6 +315,22 @@
         reachability.is_suspect(here, start + data_centre_reachability::recent_answer_window * 2));
 }
 
+BOOST_AUTO_TEST_CASE(the_time_of_an_answer_follows_its_expected_length) {
+    auto reachability = data_centre_reachability{};
+    auto pool = generation_pool{reachability};
+    auto const answer_of = [](std::int64_t tokens) {
+        return generation_size{base::token_count{1000}, base::token_count{tokens}, std::nullopt};
+    };
+    BOOST_TEST((pool.decode_time(answer_of(100)) == base::duration::zero()));
+    for (auto count = 0; count < 20; ++count) {
+        pool.note_decode_time(answer_of(100), std::chrono::seconds{2});
+    }
+    BOOST_TEST(base::to_seconds(pool.decode_time(answer_of(100))) == 2.0,
+               boost::test_tools::tolerance(1e-6));
+    BOOST_TEST(base::to_seconds(pool.decode_time(answer_of(300))) == 6.0,
+               boost::test_tools::tolerance(1e-6));
+}
+
 BOOST_AUTO_TEST_CASE(refused_callers_are_told_to_retry_soon) {
     auto const target = std::chrono::milliseconds{900};
     BOOST_TEST(base::to_seconds(retry_after(target, 0.99)) < 0.3);
--- a/linnetlane/routing/prefill_limiter.h
+++ b/linnetlane/routing/prefill_limiter.h
@@ -45,16 +45,26 @@
     // Returns whether a prefill may start now, and counts it. `rate` is the host's share of the
     // sustainable rate, in prefills per second; 0 if it is not known.
     [[nodiscard]] auto admits(double rate, base::time_point now) -> bool {
-        if (now >= this->limited_until || rate <= 0) {
+        auto const may_start = this->may_start(rate, now);
+        if (may_start) {
+            this->note_start(rate, now);
+        }
+        return may_start;
+    }
+    // Returns whether a prefill may start now.
+    [[nodiscard]] auto may_start(double rate, base::time_point now) -> bool {
+        if (now >= this->limited_until || rate <= 0 || now >= this->next_start) {
             return true;
         }
-        if (now < this->next_start) {
-            this->limited_until = now + limited_time;
-            return false;
+        this->limited_until = now + limited_time;
+        return false;
+    }
+    // Counts a prefill that starts.
+    auto note_start(double rate, base::time_point now) -> void {
+        if (now < this->limited_until && rate > 0) {
+            auto const interval = base::from_seconds(1 / (rate * this->factor_at(now)));
+            this->next_start = std::max(this->next_start + interval, now);
         }
-        auto const interval = base::from_seconds(1 / (rate * this->factor_at(now)));
-        this->next_start = std::max(this->next_start + interval, now);
-        return true;
     }
     // Records that `engine` did not finish a prefill in time. A single engine may have crashed, so
     // only timeouts at two engines are evidence of an overload.
