Retry-After: when room is expected, as far as the caller's time allows

What callers saw: a refused caller was told to come back after 75 to 150 ms, an eighth of the target latency, while engines were full for seconds. It was refused again, and has few tries.

Change: a generation's caller returns when those that wait now are expected to have had their turn, or when the prefill queue has been worked off, whichever is later, spread by a third to either side, and after no more than a third of the time that it has left. A caller that another host may be able to serve now (this one leaves, or reaches nothing) returns after the time of a new connection.

--- a/linnetlane/router/generation_forwarder.h
+++ b/linnetlane/router/generation_forwarder.h
@@ -869,31 +869,21 @@
         return refuse<Wire>(this->context, refused);
     }
 
-    // Returns when a refused caller may expect room. One that is outranked is told to wait until
-    // that is expected to end, as far as its time allows.
+    // Returns after which time a refused caller should return: when those that wait now have had
+    // their turn, or when a request that is outranked isn't any more.
     [[nodiscard]] auto return_delay() const -> base::duration {
-        auto& view = this->context.host.view;
-        auto const soon = routing::retry_after(this->context.route.target_latency, view.draw());
-        if (this->is_in_progress()) {
-            // Its target is missed in any case; what counts is that room is found in the end.
-            constexpr auto share_of_time_left = 0.15;
-            auto const left = this->context.answer_by() - base::monotonic_clock::now();
-            auto const later = std::chrono::duration_cast<base::duration>(
-                left * share_of_time_left * (0.5 + view.draw()));
-            return std::max(soon, later);
-        }
-        if (!this->outranked_until) {
-            return soon;
-        }
-        // The rest of its time is left for the retry.
-        constexpr auto share_of_time_left = 0.3;
         auto const now = base::monotonic_clock::now();
-        auto const most = std::chrono::duration_cast<base::duration>(
-            (this->context.answer_by() - now) * share_of_time_left);
-        // Spread, so that those who return together are few.
-        auto const wait = std::chrono::duration_cast<base::duration>(
-            (*this->outranked_until - now) * (0.5 + view.draw()));
-        return std::max(soon, std::min(wait, most));
+        auto const& state = this->context.state();
+        auto until_room = std::max(state.waiting.time_until_all_had_turns(now),
+                                   state.generation.expected_prefill_time({}, this->prompt(), now));
+        if (this->reservation_failure == attempt_result::no_capacity) {
+            until_room = std::max(until_room, state.waiting.usual_turn());
+        }
+        if (this->outranked_until) {
+            until_room = std::max(until_room, *this->outranked_until - now);
+        }
+        return routing::retry_after(until_room, this->context.answer_by() - now,
+                                    this->context.host.view.draw());
     }
 
     [[nodiscard]] auto software_of(base::upstream_id const& engine) const
--- a/linnetlane/router/host.h
+++ b/linnetlane/router/host.h
@@ -492,8 +492,7 @@
             end = this->forward_by_peer(context).value_or(end);
         }
         if (end.unsent) {
-            auto const delay =
-                routing::retry_after(context.route.target_latency, this->view.draw());
+            auto const delay = this->delay_to_another_host(context);
             auto const reason = this->shutdown.admits_work(base::monotonic_clock::now())
                                     ? refusal_reason::upstreams_unreachable
                                     : refusal_reason::leaving;
@@ -519,8 +518,14 @@
         return end;
     }
 
+    // Returns after which time a caller should return that another host may be able to serve now.
+    auto delay_to_another_host(request_context const& context) -> base::duration {
+        auto const left = context.answer_by() - base::monotonic_clock::now();
+        return routing::retry_after(base::duration::zero(), left, this->view.draw());
+    }
+
     auto refuse_unknown_origin(request_context const& context) -> void {
-        auto const delay = routing::retry_after(context.route.target_latency, this->view.draw());
+        auto const delay = this->delay_to_another_host(context);
         auto const end = refuse<Wire>(context, refusal{refusal_reason::unknown_origin, delay});
         this->note_end(
             context, context.route.generates ? request_kind::generation : request_kind::plain, end);
--- a/linnetlane/router/plain_forwarder.h
+++ b/linnetlane/router/plain_forwarder.h
@@ -306,8 +306,9 @@
         } else if (reason != refusal_reason::timed_out) {
             auto const paused =
                 this->context.state().plain.paused_for(base::monotonic_clock::now());
+            auto const left = this->context.answer_by() - base::monotonic_clock::now();
             refused.retry_after =
-                std::max(paused, routing::retry_after(this->context.route.target_latency,
+                std::max(paused, routing::retry_after(this->context.route.target_latency / 8, left,
                                                       this->context.host.view.draw()));
         }
         return refuse<Wire>(this->context, refused);
