Plain requests are refused for lack of time, not by a draw

What callers saw: while the queues of a plain service were longer than about one and a half requests a slot, a share of its requests was refused at random, with a caller that had 2.5 s left treated like one that had 0.1 s, and whatever upstream was free.

Cause: `admission_controller` kept the median queue at a length at which answers meet the target latency.

Change: a request is sent as long as an upstream may take it. An upstream that rejected a request counts as full while it holds as many requests as then, and for a delay that grows with each rejection in a row. While all are full, requests wait at their host in the order of their latest start (`waiting_requests`), and are refused once their time is too short for the queues, or if their turn is expected too late. An upstream that was slow but has no known queue is still tried. The controller goes.

--- a/linnetlane/router/plain_forwarder.h
+++ b/linnetlane/router/plain_forwarder.h
@@ -5,7 +5,9 @@
 #define LINNETLANE_ROUTER_PLAIN_FORWARDER_H_
 
 #include <algorithm>
+#include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <optional>
 #include <set>
 #include <string>
@@ -28,16 +30,18 @@
     // Sends allowed beyond the route's `max_attempts`. A send that the upstream is known not to
     // have run doesn't count as an attempt.
     static constexpr auto extra_sends = std::size_t{2};
+    // How often a waiting request looks for room: about as often as an upstream ends a request.
+    static constexpr auto room_check_interval = std::chrono::milliseconds{20};
 
     explicit plain_forwarder(request_context const& own_context)
         : context{own_context}, relay{own_context}, required{own_context.required} {}
 
     // Returns after the caller has been answered or has left.
     auto run() -> request_result {
-        if (!this->admitted()) {
-            return this->give_up(refusal_reason::overloaded);
-        }
         for (;;) {
+            if (!this->await_room()) {
+                return this->give_up(refusal_reason::overloaded);
+            }
             if (this->context.cancelled.cancelled()) {
                 return request_result{request_outcome::caller_left};
             }
@@ -71,19 +75,54 @@
     }
 
 private:
-    // Returns whether admission control admits the request.
-    auto admitted() const -> bool {
-        auto const now = base::monotonic_clock::now();
-        auto const& admission = this->context.state().admission;
-        if (admission.admits(this->context.host.view.draw(), now)) {
-            return true;
+    // Waits while every upstream has a full queue, as long as the caller allows. Returns false if
+    // the request isn't expected to start in that time. Requests that end for another reason don't
+    // wait.
+    auto await_room() -> bool {
+        auto& state = this->context.state();
+        auto place = std::optional<routing::waiting_requests::place>{};
+        auto const leave = [&](bool found_room) {
+            if (place) {
+                state.waiting.leave(*place, found_room, base::monotonic_clock::now());
+            }
+            return found_room;
+        };
+        for (;;) {
+            auto const now = base::monotonic_clock::now();
+            auto const ends = this->context.cancelled.cancelled() || !this->may_begin(now) ||
+                              now >= this->context.answer_by();
+            if (ends) {
+                leave(false);
+                return true;
+            }
+            auto const latest_start =
+                this->context.answer_by() - state.plain.time_behind_queues(now, this->required);
+            if (now >= latest_start) {
+                this->log_refusal();
+                return leave(false);
+            }
+            auto const is_next = place ? state.waiting.is_first(*place) : state.waiting.size() == 0;
+            if (is_next && !state.plain.is_full(now, this->required)) {
+                leave(true);
+                return true;
+            }
+            if (!place) {
+                place = state.waiting.enter({1, latest_start}, now);
+            }
+            if (!place) {
+                this->log_refusal();
+                return false;
+            }
+            runtime::sleep_until(now + room_check_interval);
         }
+    }
+
+    auto log_refusal() const -> void {
         this->context.host.log.write(
             telemetry::log_level::info, "refused: upstream queues are too long",
             {this->context.caller.id,
              this->context.service,
-             {"admitted_percent", static_cast<std::int64_t>(100 * admission.share(now))}});
-        return false;
+             {"waiting", static_cast<std::int64_t>(this->context.state().waiting.size())}});
     }
 
     // Returns whether the request may be sent while this host shuts down. One that has not run is
@@ -202,6 +241,10 @@
                     ? telemetry::literal{"another process has the address"}
                     : telemetry::literal{"upstream rejected the request without running it"});
             this->last_reason = refusal_reason::overloaded;
+            if (routing::has_no_free_slot(head.load)) {
+                // It may have room after a wait.
+                this->tried.erase(target.id);
+            }
             return std::nullopt;
         }
         ++this->runs;
@@ -306,9 +349,12 @@
         } else if (reason != refusal_reason::timed_out) {
             auto const paused =
                 this->context.state().plain.paused_for(base::monotonic_clock::now());
-            auto const left = this->context.answer_by() - base::monotonic_clock::now();
+            auto const now = base::monotonic_clock::now();
+            auto const& state = this->context.state();
+            auto const until_room = std::max(state.plain.time_behind_queues(now),
+                                             state.waiting.time_until_all_had_turns(now));
             refused.retry_after =
-                std::max(paused, routing::retry_after(this->context.route.target_latency / 8, left,
+                std::max(paused, routing::retry_after(until_room, this->context.answer_by() - now,
                                                       this->context.host.view.draw()));
         }
         return refuse<Wire>(this->context, refused);
@@ -324,9 +370,6 @@
               base::time_point sent_at, std::optional<routing::load_report> load) -> void {
         auto const now = base::monotonic_clock::now();
         this->context.state().plain.ended(target.id, {outcome, now - sent_at, load}, now);
-        if (load) {
-            this->context.state().admission.note_load(target.id, *load, now);
-        }
     }
 
     auto log_attempt(routing::upstream_record const& target, telemetry::literal what) const
--- a/linnetlane/router/routing_view.h
+++ b/linnetlane/router/routing_view.h
@@ -21,7 +21,6 @@
 #include "linnetlane/router/relay_selector.h"
 #include "linnetlane/router/settings.h"
 #include "linnetlane/router/stream_origins.h"
-#include "linnetlane/routing/admission.h"
 #include "linnetlane/routing/configuration.h"
 #include "linnetlane/routing/configuration_freshness.h"
 #include "linnetlane/routing/fact_board.h"
@@ -63,7 +62,6 @@
     // Waits until an upstream has room.
     routing::waiting_requests waiting;
     routing::retry_budget retries;
-    routing::admission_controller admission;
     routing::version_history versions;
     // Whether this host reaches the upstreams of the service.
     routing::isolation_detector isolation;
--- a/linnetlane/routing/load_report.h
+++ b/linnetlane/routing/load_report.h
@@ -21,6 +21,11 @@
     std::optional<double> pace = std::nullopt;
 };
 
+// Returns whether an upstream that sent this report has no free slot.
+[[nodiscard]] inline auto has_no_free_slot(std::optional<load_report> const& load) -> bool {
+    return load && load->running >= load->slots;
+}
+
 // Tracks the pace of an upstream's machine, from its last report. Other work on the machine comes
 // and goes within a second, so a report fades as it ages.
 class machine_pace {
--- a/linnetlane/routing/plain_pool.cpp
+++ b/linnetlane/routing/plain_pool.cpp
@@ -1,7 +1,7 @@
 #include "linnetlane/routing/plain_pool.h"
 
 #include <algorithm>
-#include <limits>
+#include <tuple>
 
 #include "linnetlane/routing/derived_draw.h"
 #include "linnetlane/routing/moving_mean.h"
@@ -35,29 +35,45 @@
 auto plain_pool::pick(std::set<base::upstream_id> const& tried, double draw, base::time_point now,
                       std::optional<base::software_version> const& required) const
     -> std::optional<base::upstream_id> {
+    // Upstreams with a full queue are picked only if no other is left.
+    using ranked = std::tuple<bool, bool, double>;
     auto best = std::optional<base::upstream_id>{};
-    auto best_cost = std::numeric_limits<double>::max();
-    auto best_usable = false;
+    auto least = ranked{};
     auto index = std::size_t{0};
     for (auto const& [id, one] : this->members) {
         ++index;
-        if (one.leaving || tried.contains(id) || this->pauses.is_blocked(id, now) ||
-            (required && one.software != *required)) {
+        if (tried.contains(id) || !this->is_candidate(id, one, now, required)) {
             continue;
         }
-        auto const usable =
-            one.health.usable(now) && !this->reachability->is_suspect(one.data_centre, now);
         auto const jitter = 1 + draw_spread * derived_draw(draw, index);
-        auto const cost = this->expected_seconds(one, now) * jitter;
-        if ((usable && !best_usable) || (usable == best_usable && cost < best_cost)) {
+        auto const rank = ranked{!this->is_usable(one, now), has_full_queue(one, now),
+                                 this->expected_seconds(one, now) * jitter};
+        if (!best || rank < least) {
             best = id;
-            best_cost = cost;
-            best_usable = usable;
+            least = rank;
         }
     }
     return best;
 }
 
+auto plain_pool::time_behind_queues(base::time_point now,
+                                    std::optional<base::software_version> const& required) const
+    -> base::duration {
+    auto const best = this->pick({}, 0, now, required);
+    if (!best) {
+        return base::duration::zero();
+    }
+    auto const& one = this->members.at(*best);
+    return load_per_slot(one, now) > 1 ? base::from_seconds(this->expected_seconds(one, now))
+                                       : base::duration::zero();
+}
+
+auto plain_pool::is_full(base::time_point now,
+                         std::optional<base::software_version> const& required) const -> bool {
+    auto const best = this->pick({}, 0, now, required);
+    return best && has_full_queue(this->members.at(*best), now);
+}
+
 auto plain_pool::paused_for(base::time_point now) const -> base::duration {
     auto least = std::optional<base::duration>{};
     for (auto const& [id, one] : this->members) {
@@ -90,6 +106,19 @@
         one.others.note(*result.load, one.under_way, now + load_report_validity);
     }
     this->update_mean(one, result, now);
+    if (result.outcome == exchange_outcome::rejected && has_no_free_slot(result.load)) {
+        one.most_requests = result.load->running + result.load->waiting;
+        auto const work = std::min<base::duration>(base::from_seconds(this->work_seconds(one, now)),
+                                                   load_report_validity);
+        // Other hosts want its free slots too, so that a second rejection says to wait for longer.
+        one.backoff = std::clamp(2 * one.backoff, work, base::duration{load_report_validity});
+        one.full_until = now + one.backoff;
+    } else if (result.outcome == exchange_outcome::answered && result.load) {
+        one.backoff = base::duration::zero();
+        // It holds more than it did when it rejected one, so its queue has grown.
+        auto const held = result.load->running + result.load->waiting;
+        one.most_requests = one.most_requests > 0 ? std::max(one.most_requests, held + 1) : 0;
+    }
 }
 
 // Rejections and failures are faster than answers and don't count. An abandoned request counts if
@@ -108,16 +137,18 @@
     }
 }
 
-auto plain_pool::expected_seconds(member const& one, base::time_point now) const -> double {
-    auto const load = static_cast<double>(one.under_way + one.others.at(now) + 1);
-    auto const slots = static_cast<double>(one.slots);
+auto plain_pool::work_seconds(member const& one, base::time_point now) const -> double {
     auto const default_seconds =
         this->overall_mean_seconds > 0 ? this->overall_mean_seconds : initial_seconds;
-    auto const idle_seconds = one.mean_seconds > 0 ? one.mean_seconds : default_seconds;
+    return (one.mean_seconds > 0 ? one.mean_seconds : default_seconds) * one.pace.at(now);
+}
+
+auto plain_pool::expected_seconds(member const& one, base::time_point now) const -> double {
+    auto const load = load_per_slot(one, now);
     // Upstreams slow down with concurrent requests and queue those beyond their slots.
-    auto const crowding = 0.5 * load / slots;
-    auto const queueing = std::max(0.0, load / slots - 1);
-    return idle_seconds * one.pace.at(now) * (1 + crowding + queueing);
+    auto const crowding = 0.5 * load;
+    auto const queueing = std::max(0.0, load - 1);
+    return this->work_seconds(one, now) * (1 + crowding + queueing);
 }
 
 }  // namespace linnetlane::routing
--- a/linnetlane/routing/plain_pool.h
+++ b/linnetlane/routing/plain_pool.h
@@ -68,6 +68,17 @@
         std::set<base::upstream_id> const& tried, double draw, base::time_point now,
         std::optional<base::software_version> const& required = std::nullopt) const
         -> std::optional<base::upstream_id>;
+    // Returns the expected time of a request that is sent now if every upstream has a queue; zero
+    // if one may have a free slot. Upstreams that were slow but have no queue now are tried, or
+    // nothing would show that they have recovered.
+    [[nodiscard]] auto time_behind_queues(base::time_point now,
+                                          std::optional<base::software_version> const& required =
+                                              std::nullopt) const -> base::duration;
+    // Returns whether every upstream has a full queue, as far as is known: it holds as many
+    // requests as when it last rejected one.
+    [[nodiscard]] auto is_full(
+        base::time_point now,
+        std::optional<base::software_version> const& required = std::nullopt) const -> bool;
     // Record that a request was sent to an upstream, and its result.
     auto started(base::upstream_id const& id) -> void;
     auto ended(base::upstream_id const& id, plain_result const& result, base::time_point now)
@@ -82,6 +93,12 @@
         base::software_version software;
         bool leaving = false;
         std::size_t under_way = 0;
+        // The requests at the upstream, running and waiting, when it rejected one; 0 if it has not.
+        std::size_t most_requests = 0;
+        // It has rejected a request, and isn't expected to take one before. Grows with each
+        // rejection in a row.
+        base::time_point full_until = base::time_point::min();
+        base::duration backoff{};
         // The moving mean of the time that a request takes at the usual pace, in seconds; 0 before
         // the first answer.
         double mean_seconds = 0;
@@ -91,8 +108,31 @@
     };
 
     auto update_mean(member& one, plain_result const& result, base::time_point now) -> void;
+    // Returns whether requests may be sent to the upstream.
+    [[nodiscard]] auto is_candidate(base::upstream_id const& id, member const& one,
+                                    base::time_point now,
+                                    std::optional<base::software_version> const& required) const
+        -> bool {
+        return !one.leaving && !this->pauses.is_blocked(id, now) &&
+               (!required || one.software == *required);
+    }
+    [[nodiscard]] auto is_usable(member const& one, base::time_point now) const -> bool {
+        return one.health.usable(now) && !this->reachability->is_suspect(one.data_centre, now);
+    }
+    [[nodiscard]] static auto has_full_queue(member const& one, base::time_point now) -> bool {
+        auto const requests = one.under_way + one.others.at(now);
+        return now < one.full_until || (one.most_requests > 0 && requests >= one.most_requests);
+    }
     // Returns the expected time of a request that is sent to the upstream now.
     [[nodiscard]] auto expected_seconds(member const& one, base::time_point now) const -> double;
+    // Returns the requests at the upstream, as far as known, with one that is sent now, in
+    // multiples of its slots.
+    [[nodiscard]] static auto load_per_slot(member const& one, base::time_point now) -> double {
+        return static_cast<double>(one.under_way + one.others.at(now) + 1) /
+               static_cast<double>(one.slots);
+    }
+    // Returns the time that a request takes at an idle upstream, at the pace of its machine.
+    [[nodiscard]] auto work_seconds(member const& one, base::time_point now) const -> double;
 
     data_centre_reachability* reachability;
     std::map<base::upstream_id, member> members;
--- a/linnetlane/routing/pools_test.cpp
+++ b/linnetlane/routing/pools_test.cpp
@@ -351,6 +351,34 @@
     }));
 }
 
+BOOST_AUTO_TEST_CASE(an_upstream_that_rejected_a_request_is_full_until_it_holds_fewer) {
+    auto reachability = data_centre_reachability{};
+    auto pool = plain_pool{reachability};
+    pool.set_members({make_record("a", "dc", {}), make_record("b", "dc", {})});
+    auto const a = base::upstream_id{"a"};
+    auto const b = base::upstream_id{"b"};
+    BOOST_TEST(!pool.is_full(start));
+    BOOST_TEST((pool.time_behind_queues(start) == base::duration::zero()));
+    auto const rejected = plain_result{exchange_outcome::rejected, std::chrono::milliseconds{2},
+                                       load_report{6, 12, 6}};
+    pool.started(a);
+    pool.ended(a, rejected, start);
+    BOOST_TEST(!pool.is_full(start));
+    BOOST_TEST((pool.pick({}, 0, start) == b));
+    pool.started(b);
+    pool.ended(b, rejected, start);
+    BOOST_TEST(pool.is_full(start + std::chrono::milliseconds{50}));
+    BOOST_TEST((pool.time_behind_queues(start) > base::duration::zero()));
+    pool.started(b);
+    pool.ended(b,
+               {exchange_outcome::answered, std::chrono::milliseconds{100}, load_report{6, 2, 6}},
+               start + std::chrono::milliseconds{60});
+    BOOST_TEST(!pool.is_full(start + std::chrono::milliseconds{60}));
+    BOOST_TEST((pool.pick({}, 0, start + std::chrono::milliseconds{60}) == b));
+    // Without a current report, one of them is tried.
+    BOOST_TEST(!pool.is_full(start + std::chrono::seconds{1}));
+}
+
 // Applies stage changes until the balancer requests no more. Returns their number.
 auto settle(stage_balancer& balancer, std::vector<upstream_record>& engines, base::time_point now)
     -> std::size_t {
