Docs: who waits and who is refused, for callers' reasons

The age of a proof for a refusal for good and the cost of a transfer between data centres get the caller's reason.

--- a/linnetlane/router/host.h
+++ b/linnetlane/router/host.h
@@ -47,7 +47,8 @@
     // way.
     static constexpr auto confirmation_wait = std::chrono::milliseconds{400};
     // The age of the proof that a refusal for good requires, as a share of the bound on changes.
-    // The caller of a route that was added just now would not come back.
+    // The caller of a route that was added just now would not come back. Few requests match no
+    // route, so that the registry can be asked for nearly each of them.
     static constexpr auto final_refusal_share = 1.0 / 8;
     // The age that log lines state for a configuration that was never known to be the newest one.
     static constexpr auto no_proof = base::duration{std::chrono::seconds{-1}};
--- a/linnetlane/routing/generation_pool.cpp
+++ b/linnetlane/routing/generation_pool.cpp
@@ -20,7 +20,8 @@
 constexpr auto shorter_time_weight = 0.2;
 constexpr auto longer_time_weight = 0.01;
 // The cost of transferring a prefill result to another data centre, in multiples of the mean
-// request. Corresponds to about 50 ms of a target latency of several hundred.
+// request. The transfer takes longer there, so the caller is served sooner by a nearer engine
+// unless its queue is longer by half a request.
 constexpr auto cross_data_centre_cost = 0.5;
 
 }  // namespace
