Generations: engines whose answers took long are tried when they have room

Seen by reading: the time that answers take was counted also for a request that needn't wait. Once it exceeds the deadlines of all callers, every request would be refused and nothing would be learned any more. Now it only bounds the wait.

--- a/linnetlane/router/generation_forwarder.h
+++ b/linnetlane/router/generation_forwarder.h
@@ -141,23 +141,25 @@
                              : this->context.deadline;
     }
 
-    // Returns when the prefill must end at the latest for the caller to be still there at the first
-    // event, and to get the whole answer in its time.
+    // Returns when a prefill must end at the latest for the caller to be still there at the first
+    // event.
     [[nodiscard]] auto prefill_by() const -> base::time_point {
-        auto const decode =
-            this->context.caller.size
-                ? this->context.state().generation.decode_time(*this->context.caller.size)
-                : base::duration::zero();
-        return std::min(this->event_by, this->context.answer_by() - decode) - first_event_margin;
+        return std::min(this->event_by, this->context.answer_by()) - first_event_margin;
     }
 
-    // Returns when the prefill must start at the latest for that.
+    // Returns until when the request may wait: then its prefill must start for the caller to be
+    // still there at the first event, and to get the whole answer in its time.
     [[nodiscard]] auto latest_start() const -> base::time_point {
-        return this->prefill_by() - this->context.state().generation.prefill_time(this->prompt());
+        auto const& pool = this->context.state().generation;
+        auto const decode = this->context.caller.size ? pool.decode_time(*this->context.caller.size)
+                                                      : base::duration::zero();
+        return std::min(this->prefill_by(), this->context.answer_by() - decode) -
+               pool.prefill_time(this->prompt());
     }
 
     // Returns whether a prefill that begins now, at an engine outside of `tried`, is expected to
-    // end in time.
+    // end in time. The time of answers doesn't count: if engines that were slow were sent nothing,
+    // nothing would show that they have recovered.
     [[nodiscard]] auto can_answer_in_time(std::set<base::upstream_id> const& tried) const -> bool {
         auto const now = base::monotonic_clock::now();
         auto const expected =
