--- a/linnetlane/router/generation_forwarder.h
+++ b/linnetlane/router/generation_forwarder.h
@@ -202,17 +202,17 @@
             }
         }
         this->reservation_failure = attempt_result::no_capacity;
-        auto const since = base::monotonic_clock::now();
+        auto const now = base::monotonic_clock::now();
         auto const place =
-            waiting.enter({this->is_in_progress() ? 0 : 1, this->latest_start()}, since);
+            waiting.enter({this->is_in_progress() ? 0 : 1, this->latest_start()}, now);
         if (!place) {
             this->log_step({}, "too many requests wait for room");
             return std::nullopt;
         }
         auto reserved = this->wait_for_room(*place);
-        auto const now = base::monotonic_clock::now();
-        waiting.leave(*place, reserved.has_value(), now);
-        this->waited += now - since;
+        this->waited_from = now;
+        this->waited_until = base::monotonic_clock::now();
+        waiting.leave(*place, reserved.has_value(), this->waited_until);
         return reserved;
     }
 
@@ -917,7 +917,7 @@
              {"reserved_tokens", this->reserved_tokens()},
              {"engines_asked", static_cast<std::int64_t>(this->engines_asked)},
              {"outranked", this->outranked_until.has_value()},
-             {"waited", this->waited},
+             {"waited", this->waited_until - this->waited_from},
              {"prefills", static_cast<std::int64_t>(this->prefills)},
              telemetry::field::named("prefilled_at", this->prefilled_at),
              telemetry::field::named("decoded_at", this->decoded_at),
@@ -942,8 +942,9 @@
     std::optional<base::software_version> required;
     // When the caller leaves unless it has received an event.
     base::time_point event_by;
-    // The time for which the request waited for room.
-    base::duration waited{};
+    // Begin and end of the last wait for room.
+    base::time_point waited_from;
+    base::time_point waited_until;
     std::size_t engines_asked = 0;
     // There are engines that may have room now or later.
     bool engines_known = false;
--- a/linnetlane/routing/plain_pool.cpp
+++ b/linnetlane/routing/plain_pool.cpp
@@ -1,6 +1,7 @@
 #include "linnetlane/routing/plain_pool.h"
 
 #include <algorithm>
+#include <cmath>
 #include <tuple>
 
 #include "linnetlane/routing/derived_draw.h"
@@ -108,13 +109,14 @@
     this->update_mean(one, result, now);
     if (result.outcome == exchange_outcome::rejected && has_no_free_slot(result.load)) {
         one.most_requests = result.load->running + result.load->waiting;
-        auto const work = std::min<base::duration>(base::from_seconds(this->work_seconds(one, now)),
-                                                   load_report_validity);
-        // Other hosts want its free slots too, so that a second rejection says to wait for longer.
-        one.backoff = std::clamp(2 * one.backoff, work, base::duration{load_report_validity});
-        one.full_until = now + one.backoff;
+        // Other hosts want its free slots too, so that each further rejection doubles the delay.
+        constexpr auto most_doublings = std::size_t{10};
+        auto const doublings = std::min(one.rejections_in_a_row++, most_doublings);
+        auto const delay = base::from_seconds(
+            std::ldexp(this->work_seconds(one, now), static_cast<int>(doublings)));
+        one.full_until = now + std::min<base::duration>(delay, load_report_validity);
     } else if (result.outcome == exchange_outcome::answered && result.load) {
-        one.backoff = base::duration::zero();
+        one.rejections_in_a_row = 0;
         // It holds more than it did when it rejected one, so its queue has grown.
         auto const held = result.load->running + result.load->waiting;
         one.most_requests = one.most_requests > 0 ? std::max(one.most_requests, held + 1) : 0;
--- a/linnetlane/routing/plain_pool.h
+++ b/linnetlane/routing/plain_pool.h
@@ -95,10 +95,9 @@
         std::size_t under_way = 0;
         // The requests at the upstream, running and waiting, when it rejected one; 0 if it has not.
         std::size_t most_requests = 0;
-        // It has rejected a request, and isn't expected to take one before. Grows with each
-        // rejection in a row.
+        // It has rejected a request, and isn't expected to take one before.
         base::time_point full_until = base::time_point::min();
-        base::duration backoff{};
+        std::size_t rejections_in_a_row = 0;
         // The moving mean of the time that a request takes at the usual pace, in seconds; 0 before
         // the first answer.
         double mean_seconds = 0;
