Requests wait in queues of their own for each software version that they are bound to

New requests were refused with engines free.

Cause: all waiting requests of a service were in one queue, of which only the first asks. A stream that is bound to one version stood first for three seconds while the engines of that version were full, and whoever came meanwhile was refused at once, since no turn had come for so long.

Change: a queue for each version that requests are bound to, and one for those that aren't. A stream in progress isn't refused by an estimate: its caller has a part of the answer, and engines have worked for it.

`a_stream_in_progress_waits_although_its_turn_may_come_too_late` fails before.

--- a/linnetlane/router/generation_forwarder.h
+++ b/linnetlane/router/generation_forwarder.h
@@ -193,7 +193,7 @@
     // Reserves memory. While engines have no room, the request waits as long as its caller can
     // still be answered in time; it is refused at once if its turn is expected too late.
     auto reserve() -> std::optional<decode_reservation> {
-        auto& waiting = this->context.state().waiting;
+        auto& waiting = this->context.state().waiting[this->required];
         if (waiting.size() == 0) {
             auto reserved =
                 this->reserve_if_open(this->context.host.settings.generation.engines_asked);
@@ -209,17 +209,18 @@
             this->log_step({}, "too many requests wait for room");
             return std::nullopt;
         }
-        auto reserved = this->wait_for_room(*place);
+        auto reserved = this->wait_for_room(waiting, *place);
         this->waited_from = now;
         this->waited_until = base::monotonic_clock::now();
         waiting.leave(*place, reserved.has_value(), this->waited_until);
         return reserved;
     }
 
-    auto wait_for_room(routing::waiting_requests::place const& place)
+    auto wait_for_room(routing::waiting_requests const& waiting,
+                       routing::waiting_requests::place const& place)
         -> std::optional<decode_reservation> {
         while (this->may_wait_until(base::monotonic_clock::now() + room_check_interval)) {
-            if (!this->context.state().waiting.is_first(place)) {
+            if (!waiting.is_first(place)) {
                 continue;
             }
             auto reserved = this->reserve_if_open(engines_per_check);
@@ -875,11 +876,12 @@
     // their turn, or when a request that is outranked isn't any more.
     [[nodiscard]] auto return_delay() const -> base::duration {
         auto const now = base::monotonic_clock::now();
-        auto const& state = this->context.state();
-        auto until_room = std::max(state.waiting.time_until_all_had_turns(now),
+        auto& state = this->context.state();
+        auto const& waiting = state.waiting[this->required];
+        auto until_room = std::max(waiting.time_until_all_had_turns(now),
                                    state.generation.expected_prefill_time({}, this->prompt(), now));
         if (this->reservation_failure == attempt_result::no_capacity) {
-            until_room = std::max(until_room, state.waiting.usual_turn());
+            until_room = std::max(until_room, waiting.usual_turn());
         }
         if (this->outranked_until) {
             until_room = std::max(until_room, *this->outranked_until - now);
--- a/linnetlane/router/plain_forwarder.h
+++ b/linnetlane/router/plain_forwarder.h
@@ -80,10 +80,11 @@
     // wait.
     auto await_room() -> bool {
         auto& state = this->context.state();
+        auto& waiting = state.waiting[this->required];
         auto place = std::optional<routing::waiting_requests::place>{};
         auto const leave = [&](bool found_room) {
             if (place) {
-                state.waiting.leave(*place, found_room, base::monotonic_clock::now());
+                waiting.leave(*place, found_room, base::monotonic_clock::now());
             }
             return found_room;
         };
@@ -101,13 +102,13 @@
                 this->log_refusal();
                 return leave(false);
             }
-            auto const is_next = place ? state.waiting.is_first(*place) : state.waiting.size() == 0;
+            auto const is_next = place ? waiting.is_first(*place) : waiting.size() == 0;
             if (is_next && !state.plain.is_full(now, this->required)) {
                 leave(true);
                 return true;
             }
             if (!place) {
-                place = state.waiting.enter({1, latest_start}, now);
+                place = waiting.enter({1, latest_start}, now);
             }
             if (!place) {
                 this->log_refusal();
@@ -122,7 +123,8 @@
             telemetry::log_level::info, "refused: upstream queues are too long",
             {this->context.caller.id,
              this->context.service,
-             {"waiting", static_cast<std::int64_t>(this->context.state().waiting.size())}});
+             {"waiting",
+              static_cast<std::int64_t>(this->context.state().waiting[this->required].size())}});
     }
 
     // Returns whether the request may be sent while this host shuts down. One that has not run is
@@ -350,9 +352,10 @@
             auto const paused =
                 this->context.state().plain.paused_for(base::monotonic_clock::now());
             auto const now = base::monotonic_clock::now();
-            auto const& state = this->context.state();
-            auto const until_room = std::max(state.plain.time_behind_queues(now),
-                                             state.waiting.time_until_all_had_turns(now));
+            auto& state = this->context.state();
+            auto const until_room =
+                std::max(state.plain.time_behind_queues(now),
+                         state.waiting[this->required].time_until_all_had_turns(now));
             refused.retry_after =
                 std::max(paused, routing::retry_after(until_room, this->context.answer_by() - now,
                                                       this->context.host.view.draw()));
--- a/linnetlane/router/routing_view.h
+++ b/linnetlane/router/routing_view.h
@@ -59,8 +59,10 @@
     routing::prefill_limiter prefill_limits;
     // Of requests with different priorities.
     routing::room_scarcity scarcity;
-    // Waits until an upstream has room.
-    routing::waiting_requests waiting;
+    // The requests that wait for room, by the software version of the upstreams that they may be
+    // sent to; nothing if it may be any. Those that wait for room at one version don't hold up
+    // others.
+    std::map<std::optional<base::software_version>, routing::waiting_requests> waiting;
     routing::retry_budget retries;
     routing::version_history versions;
     // Whether this host reaches the upstreams of the service.
--- a/linnetlane/routing/waiting_requests.h
+++ b/linnetlane/routing/waiting_requests.h
@@ -52,10 +52,11 @@
     // Bounds the memory that waiting requests take.
     static constexpr auto most = std::size_t{64};
 
-    // Adds a request. Returns nothing if its turn isn't expected by its latest start.
+    // Adds a request. Returns nothing if its turn isn't expected by its latest start. A stream in
+    // progress waits in any case, since its caller has a part of the answer.
     auto enter(waiting_order const& order, base::time_point now) -> std::optional<place> {
-        if (this->requests.size() >= most ||
-            now + this->expected_wait(order, now) > order.latest_start) {
+        auto const is_late = now + this->expected_wait(order, now) > order.latest_start;
+        if (this->requests.size() >= most || (order.group != 0 && is_late)) {
             return std::nullopt;
         }
         if (this->requests.empty()) {
--- a/linnetlane/routing/waiting_requests_test.cpp
+++ b/linnetlane/routing/waiting_requests_test.cpp
@@ -70,6 +70,15 @@
     BOOST_TEST(waiting.enter({1, later + std::chrono::seconds{4}}, later).has_value());
 }
 
+BOOST_AUTO_TEST_CASE(a_stream_in_progress_waits_although_its_turn_may_come_too_late) {
+    auto waiting = waiting_requests{};
+    auto const now = with_turns_of(milliseconds{50}, waiting);
+    BOOST_TEST(waiting.enter({0, now + std::chrono::hours{1}}, now).has_value());
+    auto const later = now + std::chrono::seconds{3};
+    BOOST_TEST(!waiting.enter({1, later + std::chrono::seconds{2}}, later).has_value());
+    BOOST_TEST(waiting.enter({0, later + std::chrono::seconds{2}}, later).has_value());
+}
+
 BOOST_AUTO_TEST_CASE(the_number_of_waiting_requests_is_bounded) {
     auto waiting = waiting_requests{};
     for (auto count = std::size_t{0}; count < waiting_requests::most; ++count) {
