--- a/linnetlane/routing/prefill_limiter.h
+++ b/linnetlane/routing/prefill_limiter.h
@@ -3,10 +3,10 @@
 // With many hosts, each sees too few answers of the engines to know their queues. A prefill that
 // times out is evidence that the engines get more prompts than they can prefill. For some time
 // after it, a host starts prefills at no more than its share of the rate that the engines can
-// sustain, and refuses the others at once. Without such a limit, engines spend their time on
+// sustain, and holds back the others. Without such a limit, engines spend their time on
 // prompts that time out.
 //
-//   if (!limiter.admits(pool.prefill_rate(now) / hosts, now)) { refuse(); }
+//   if (!limiter.admits(pool.prefill_rate(now) / hosts, now)) { wait(); }
 //   ...
 //   limiter.note_timeout(engine, now);    // a prefill was given up
 
--- a/linnetlane/routing/waiting_requests.h
+++ b/linnetlane/routing/waiting_requests.h
@@ -1,4 +1,4 @@
-// The requests of a service that wait at this host until an engine has room.
+// The requests of a service that wait at this host until an upstream has room.
 //
 // Requests wait here rather than in the queue of an engine, where they can't give way to others and
 // hold memory. They ask for room one at a time, so that a full engine isn't asked by all of them:
@@ -38,8 +38,8 @@
         -> std::strong_ordering = default;
 };
 
-// Not thread-safe; must be used on one worker only. There is one instance for each service with
-// engines.
+// Not thread-safe; must be used on one worker only. There is one instance for each service and
+// software version that requests are bound to, and one for the requests that are bound to none.
 class waiting_requests {
 public:
     struct place {
