--- a/review/harness-2/standins.py
+++ b/review/harness-2/standins.py
@@ -451,6 +451,9 @@
     def __init__(self):
         self.status, self.fields, self.body, self.complete = 0, [], b"", False
 
+    def field(self, name, default=None):
+        return next((value for key, value in self.fields if key.lower() == name.lower()), default)
+
     def events(self):
         """Returns the complete events as (id, data) pairs."""
         found = []
