review: show requests to runners that left after a host's partition

Cause: a host keeps the record of a runner whose entry is removed for 2.2 s after it could read the store again, also if the store was never away, and drain_ms is shorter.

--- a/review/harness-2/standins.py
+++ b/review/harness-2/standins.py
@@ -153,8 +153,8 @@
         self.leases = {}
         self.era = 1
         self.changed = asyncio.Event()
-        # The addresses at which calls are answered 503.
-        self.refused = set()
+        # The addresses at which calls are answered 503, and those that are cut off.
+        self.refused, self.cut = set(), set()
         self.last_lease = 0
 
     def put(self, key, value, lease=0):
@@ -189,6 +189,10 @@
 
     async def serve(self, method, target, message, reader, writer, address):
         await asyncio.sleep(self.ANSWER_TIME)
+        if address in self.cut:
+            # What was sent during the cut is lost; only the caller can end the connection.
+            await reader.read()
+            return False
         if address in self.refused:
             await send(writer, encode_response(503, [("Store-Era", self.era)]))
             return True
@@ -243,6 +247,8 @@
         after, until = int(query["after"]), time.monotonic() + int(query["wait_ms"]) / 1000
         while True:
             self.expire()
+            if address in self.cut:
+                await asyncio.sleep(60)
             if address in self.refused:
                 return 503, {}
             events = [event for event in self.history
@@ -330,6 +336,13 @@
         self.next_id += 1
         return f"{letter}{self.name}{self.next_id}"
 
+    async def serve_connection(self, reader, writer, address):
+        if self.dark:
+            # A new connection isn't established; one that was open before falls silent.
+            writer.transport.abort()
+            return
+        await super().serve_connection(reader, writer, address)
+
     async def be_dark(self):
         while self.dark:
             await asyncio.sleep(0.02)
