--- a/review/9/case.py
+++ b/review/9/case.py
@@ -18,7 +18,7 @@
 
 PREFILL_RUNNERS = 4
 DECODE_RUNNERS = 16
-REQUESTS_PER_SECOND = 24
+REQUESTS_PER_SECOND = 40
 STRIKES = 8
 HOSTS = 8
 # Of 20 runners, 1 goes dark (0.05) and 3 drain (0.15) in each strike.
--- a/review/harness-2/standins.py
+++ b/review/harness-2/standins.py
@@ -653,11 +653,14 @@
 
     async def guarded():
         # Cancelled connections are no errors.
-        asyncio.get_running_loop().set_exception_handler(lambda loop, context: None)
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda loop, context: None)
+        for ending in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            loop.add_signal_handler(ending, asyncio.current_task().cancel)
         site = Site(record)
         try:
             return await asyncio.wait_for(scenario(site, trouble), 115)
-        except (RuntimeError, OSError, asyncio.TimeoutError) as error:
+        except (RuntimeError, OSError, asyncio.TimeoutError, asyncio.CancelledError) as error:
             record.note("the case could not run", error=repr(error))
             return NOT_RUN
         finally:
