--- a/review/harness-2/standins.py
+++ b/review/harness-2/standins.py
@@ -9,6 +9,7 @@
 import json
 import os
 import pathlib
+import random
 import shutil
 import signal
 import socket
@@ -507,13 +508,17 @@
 
 
 def free_ports(count):
-    sockets = [socket.socket() for _ in range(count)]
-    for each in sockets:
-        each.bind(("127.0.0.1", 0))
-    ports = [each.getsockname()[1] for each in sockets]
-    for each in sockets:
-        each.close()
-    return ports
+    """Returns free ports below the usual range of ephemeral ports, so that no connection takes them."""
+    found = []
+    while len(found) < count:
+        port = random.randrange(20_000, 32_000)
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+                found += [port] if port not in found else []
+            except OSError:
+                pass
+    return found
 
 
 class Host:
