Client: an answer with a status outside of 100 to 599 is malformed

Callers saw: an upstream in trouble answered with status 000, and the caller got that as its answer.

Cause: Beast takes any three digits for a status, and the client checked only for interim ones. Nothing behind the client looks at the range either: 000 is below 500, so that it counted as an answer of the upstream.

Ruled out: a check in the routes or in the translation to the platform. The answers of the store and of other hosts are read by the same client.

Change: read_head refuses such a status as malformed, so that the connection is closed, the exchange has an unknown outcome (502, or another attempt if the request may be repeated), and the failure counts against the upstream.

--- a/linnetlane/runtime/http_client.cpp
+++ b/linnetlane/runtime/http_client.cpp
@@ -121,6 +121,13 @@
     return http_failure_kind::closed;
 }
 
+// Beast passes on any three digits. RFC 9110, 15: others than these are invalid.
+auto is_valid_status(unsigned status) -> bool {
+    constexpr auto lowest = 100U;
+    constexpr auto highest = 599U;
+    return status >= lowest && status <= highest;
+}
+
 // Also for codes that Beast doesn't know.
 auto is_interim(unsigned status) -> bool {
     return http::to_status_class(status) == http::status_class::informational;
@@ -263,6 +270,9 @@
                 return read.error;
             }
             auto const status = this->parser().get().result_int();
+            if (!is_valid_status(status)) {
+                return http::error::bad_status;
+            }
             if (status == static_cast<unsigned>(http::status::switching_protocols)) {
                 // No request asks for another protocol, and what follows wouldn't be HTTP.
                 return http::error::bad_status;
--- a/linnetlane/runtime/http_test.cpp
+++ b/linnetlane/runtime/http_test.cpp
@@ -709,6 +709,78 @@
     BOOST_TEST(base::value_of(fetched).body == "whole");
 }
 
+// ---- Heads that no sound server sends ----
+
+struct broken_head_fixture : cut_fixture {
+    // Checks that these bytes are no response, neither to a first request nor to a later one on the
+    // same connection.
+    auto expect_malformed(std::string const& bytes) -> void {
+        for (auto const kept : {false, true}) {
+            auto const server = raw_server{
+                {.parts = {bytes}, .closes = true, .first = kept ? final_answer : std::string{}}};
+            auto const fetched = this->fetch_from(server, kept);
+            BOOST_TEST_REQUIRE(!base::succeeded(fetched), bytes);
+            BOOST_TEST((base::failure_of(fetched)->kind == http_failure_kind::malformed), bytes);
+            BOOST_TEST((base::failure_of(fetched)->send_state == send_state::may_have_been_sent));
+        }
+    }
+
+    // Checks the same of a head with this field line: of a final response with a length, in chunks
+    // or without either, of an interim one, and of the trailers.
+    auto expect_malformed_line(std::string const& line) -> void {
+        auto const begin = std::string{"HTTP/1.1 200 OK\r\nX-Of: answer\r\n"};
+        for (auto const& bytes : {
+                 begin + line + "\r\nContent-Length: 5\r\n\r\nwhole",
+                 begin + "Content-Length: 5\r\n" + line + "\r\n\r\nwhole",
+                 begin + line + "\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n",
+                 begin + line + "\r\n\r\nwhole",
+                 "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n" + line + "\r\n\r\n" + final_answer,
+                 begin + "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\nX-Sum: 8\r\n" +
+                     line + "\r\n\r\n",
+             }) {
+            this->expect_malformed(bytes);
+        }
+    }
+};
+
+// RFC 9110, 15: a status is an integer from 100 to 599.
+BOOST_FIXTURE_TEST_CASE(a_status_outside_of_100_to_599_is_malformed, broken_head_fixture) {
+    for (auto const* const status : {"000", "001", "099", "600", "999"}) {
+        this->expect_malformed(
+            joined({"HTTP/1.1 ", status, " OK\r\nContent-Length: 5\r\n\r\nwhole"}));
+        this->expect_malformed(joined({"HTTP/1.1 ", status, " \r\n\r\n"}));
+        this->expect_malformed(joined({"HTTP/1.0 ", status, " OK\r\n\r\nwhole"}));
+        this->expect_malformed(
+            joined({hints, "HTTP/1.1 ", status,
+                    " OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n"}));
+    }
+}
+
+BOOST_FIXTURE_TEST_CASE(a_status_outside_of_100_to_599_is_no_next_response, fixture) {
+    auto const server =
+        raw_server{{.parts = {final_answer + "HTTP/1.1 000 OK\r\nContent-Length: 5\r\n\r\nwhole"}}};
+    in_fiber(this->pool, [&] {
+        auto opened = open_stream(server.address(), {}, connection_use::pooled, soon());
+        BOOST_REQUIRE(base::succeeded(opened));
+        auto stream = base::take_value(std::move(opened));
+        auto const next = stream.read_next_response(soon());
+        BOOST_REQUIRE(!base::succeeded(next));
+        BOOST_TEST((base::failure_of(next)->kind == http_failure_kind::malformed));
+    });
+}
+
+BOOST_FIXTURE_TEST_CASE(a_status_that_has_no_name_is_passed_on, cut_fixture) {
+    for (auto const status : {200, 299, 399, 499, 599}) {
+        auto const server =
+            raw_server{{.parts = {joined({"HTTP/1.1 ", std::to_string(status),
+                                          " \r\nContent-Length: 5\r\n\r\nwhole"})}}};
+        auto const fetched = this->fetch_from(server, false);
+        BOOST_REQUIRE(base::succeeded(fetched));
+        BOOST_TEST(base::value_of(fetched).status == status);
+        BOOST_TEST(base::value_of(fetched).body == "whole");
+    }
+}
+
 // ---- What clients receive of responses without a body, of old clients, and of aborted ones ----
 
 // The bytes that a client received, and whether the connection was closed regularly.
