Client: a body without a length is no whole answer if the request wasn't written

Callers saw: an upstream answered a long upload at once with a 200 that had no length, sent a part of its body and reset the connection. The caller got that part as the whole answer.

Cause: a body without a length or chunks ends with its connection, and a reset is no such end. But the reset was never read: the write of the request, which was still under way, took the socket's pending error, and the read that followed found a plain end. The client knew that the request had not been written whole and asked for that only to decide on reuse.

Ruled out: a check of the error of the write. A server that ends its side regularly while the upload is unread may reset the connection later, after what was read as the end; the write has no error then. Order of events: a server that has read the whole request ends the connection after the last write, and the write's handler runs before the read's, so that sound answers aren't refused: 20 of 20 uploads of 8 MB that were read whole and answered without a length, with the connection closed at once, are complete.

Change: at the end of such a body, the client fails with `closed` unless the request was written whole; http.h says so. An answer with a length or a last chunk keeps its meaning. Cost: an early refusal (such as 413) without a length becomes a 502 for the caller. It can't be told from a part of one.

--- a/linnetlane/runtime/http.h
+++ b/linnetlane/runtime/http.h
@@ -60,6 +60,12 @@
 
 // A response whose body is read incrementally. Closing it before the end of the body closes the
 // connection, which cancels the request at an engine. Used only on the worker that opened it.
+//
+// A body with neither a length nor chunks ends with its connection. It is complete only if the
+// request had been written whole by then: a server that stops reading a request may reset the
+// connection, which can end the body anywhere and can look like a regular end. Reading it then fails
+// with `closed`. A body with a length or a last chunk is complete by what it states, also if the
+// request was not written whole.
 class http_stream {
 public:
     struct state;
--- a/linnetlane/runtime/http_client.cpp
+++ b/linnetlane/runtime/http_client.cpp
@@ -310,6 +310,10 @@
                 return bytes;
             }
         }
+        if (this->parser().need_eof() && !this->sending->written) {
+            // The write may have taken the error of a reset, so that the read finds a regular end.
+            return boost::system::error_code{http::error::partial_message};
+        }
         return std::size_t{0};
     }
 
--- a/linnetlane/runtime/http_test.cpp
+++ b/linnetlane/runtime/http_test.cpp
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include <boost/asio/buffer.hpp>
+#include <boost/asio/completion_condition.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read.hpp>
@@ -709,6 +710,188 @@
     BOOST_TEST(base::value_of(fetched).body == "whole");
 }
 
+// ---- Responses that come while the request is still being sent ----
+
+enum class early_end {
+    // Closes with unread bytes, which resets the connection.
+    closes,
+    // Resets it.
+    resets,
+    // Ends its side regularly and leaves the rest of the request unread.
+    shuts_down,
+};
+
+// Answers each request when its head has arrived, with buffers that are smaller than the request.
+// Has a thread of its own and ends it in its destructor.
+class early_server {
+public:
+    early_server(std::string own_answer, early_end own_end, std::chrono::milliseconds own_pause)
+        : answer{std::move(own_answer)}, end{own_end}, pause{own_pause} {
+        this->acceptor.open(tcp::v4());
+        this->acceptor.set_option(boost::asio::socket_base::receive_buffer_size{16 * 1024});
+        this->acceptor.bind({boost::asio::ip::make_address("127.0.0.1"), 0});
+        this->acceptor.listen();
+        this->serving = std::thread{[this] { this->serve_all(); }};
+    }
+    early_server(early_server const&) = delete;
+    auto operator=(early_server const&) -> early_server& = delete;
+    early_server(early_server&&) = delete;
+    auto operator=(early_server&&) -> early_server& = delete;
+    ~early_server() {
+        this->stopping = true;
+        // Wakes the accepting thread.
+        auto wake = tcp::socket{this->context};
+        auto ignored = boost::system::error_code{};
+        wake.connect(this->acceptor.local_endpoint(), ignored);
+        this->serving.join();
+    }
+
+    [[nodiscard]] auto address() const -> base::endpoint {
+        return base::endpoint{"127.0.0.1", this->acceptor.local_endpoint().port()};
+    }
+
+private:
+    using tcp = boost::asio::ip::tcp;
+
+    auto serve_all() -> void {
+        // Those that were shut down on one side.
+        auto half_open = std::vector<tcp::socket>{};
+        while (!this->stopping) {
+            auto connection = tcp::socket{this->context};
+            auto error = boost::system::error_code{};
+            this->acceptor.accept(connection, error);
+            if (error || this->stopping) {
+                continue;
+            }
+            connection.set_option(tcp::no_delay{true}, error);
+            auto received = std::string{};
+            boost::asio::read_until(connection, boost::asio::dynamic_buffer(received), "\r\n\r\n",
+                                    error);
+            boost::asio::write(connection, boost::asio::buffer(this->answer), error);
+            std::this_thread::sleep_for(this->pause);
+            switch (this->end) {
+                case early_end::shuts_down:
+                    connection.shutdown(tcp::socket::shutdown_send, error);
+                    half_open.push_back(std::move(connection));
+                    break;
+                case early_end::resets:
+                    connection.set_option(boost::asio::socket_base::linger{true, 0}, error);
+                    connection.close(error);
+                    break;
+                case early_end::closes:
+                    connection.close(error);
+                    break;
+            }
+        }
+    }
+
+    std::string answer;
+    early_end end;
+    std::chrono::milliseconds pause;
+    boost::asio::io_context context;
+    tcp::acceptor acceptor{this->context};
+    std::atomic<bool> stopping = false;
+    std::thread serving;
+};
+
+struct upload_fixture : fixture {
+    static constexpr auto upload_bytes = std::size_t{8} * 1024 * 1024;
+
+    auto upload_to(base::endpoint const& to) -> base::result<http_response, http_failure> {
+        auto result = base::result<http_response, http_failure>{http_failure{}};
+        in_fiber(this->pool, [&] {
+            result = fetch(to, {"POST", "/", {}, std::string(upload_bytes, 'u')},
+                           connection_use::pooled, soon());
+        });
+        return result;
+    }
+
+    // Returns the results of uploads to servers that answer early, whatever end they choose.
+    auto upload_to_early_servers(std::string const& answer)
+        -> std::vector<base::result<http_response, http_failure>> {
+        auto results = std::vector<base::result<http_response, http_failure>>{};
+        for (auto const end : {early_end::closes, early_end::resets, early_end::shuts_down}) {
+            for (auto const pause : {0ms, 20ms}) {
+                auto const server = early_server{answer, end, pause};
+                for (auto count = 0; count < 5; ++count) {
+                    results.push_back(this->upload_to(server.address()));
+                }
+            }
+        }
+        return results;
+    }
+};
+
+// The write of the request took the error of the reset, and the read found a regular end.
+BOOST_FIXTURE_TEST_CASE(a_body_without_length_under_an_unfinished_upload_is_no_response,
+                        upload_fixture) {
+    for (auto const* const head : {"HTTP/1.1 200 OK\r\n\r\n", "HTTP/1.0 200 OK\r\n\r\n",
+                                   "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n",
+                                   "HTTP/1.1 413 Too Large\r\nConnection: close\r\n\r\n"}) {
+        auto taken = 0;
+        for (auto const& result : this->upload_to_early_servers(std::string{head} + "part")) {
+            taken += base::succeeded(result) ? 1 : 0;
+            if (auto const* const failure = base::failure_of(result)) {
+                BOOST_TEST((failure->kind == http_failure_kind::closed));
+                BOOST_TEST((failure->send_state == send_state::may_have_been_sent));
+            }
+        }
+        BOOST_TEST(taken == 0, head << " taken: " << taken);
+    }
+}
+
+BOOST_FIXTURE_TEST_CASE(a_cut_body_with_a_length_or_chunks_under_an_upload_is_no_response,
+                        upload_fixture) {
+    for (auto const* const answer :
+         {"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npart",
+          "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n"}) {
+        for (auto const& result : this->upload_to_early_servers(answer)) {
+            BOOST_TEST(!base::succeeded(result));
+        }
+    }
+}
+
+// They are complete by what they state themselves.
+BOOST_FIXTURE_TEST_CASE(an_early_response_with_a_length_or_a_last_chunk_is_complete,
+                        upload_fixture) {
+    for (auto const* const answer :
+         {"HTTP/1.1 413 Too Large\r\nContent-Length: 5\r\n\r\nwhole",
+          "HTTP/1.1 413 Too Large\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n"}) {
+        auto const server = early_server{answer, early_end::shuts_down, 0ms};
+        auto const result = this->upload_to(server.address());
+        BOOST_REQUIRE(base::succeeded(result));
+        BOOST_TEST(base::value_of(result).status == 413);
+        BOOST_TEST(base::value_of(result).body == "whole");
+    }
+}
+
+// A server that has read the whole request may end the body with the connection at once.
+BOOST_FIXTURE_TEST_CASE(a_body_without_length_after_a_whole_upload_is_complete, upload_fixture) {
+    namespace asio = boost::asio;
+    auto context = asio::io_context{};
+    auto acceptor = asio::ip::tcp::acceptor{context, {asio::ip::make_address("127.0.0.1"), 0}};
+    auto const address = base::endpoint{"127.0.0.1", acceptor.local_endpoint().port()};
+    constexpr auto rounds = 20;
+    auto serving = std::thread{[&] {
+        for (auto count = 0; count < rounds; ++count) {
+            auto connection = acceptor.accept();
+            auto received = std::string{};
+            auto error = boost::system::error_code{};
+            auto const head =
+                asio::read_until(connection, asio::dynamic_buffer(received), "\r\n\r\n", error);
+            asio::read(connection, asio::dynamic_buffer(received),
+                       asio::transfer_exactly(head + upload_bytes - received.size()), error);
+            asio::write(connection, asio::buffer(head_begin + "\r\nwhole"), error);
+        }
+    }};
+    for (auto count = 0; count < rounds; ++count) {
+        auto const result = this->upload_to(address);
+        BOOST_TEST_REQUIRE(base::succeeded(result));
+        BOOST_TEST(base::value_of(result).body == "whole");
+    }
+    serving.join();
+}
+
 // ---- Heads that no sound server sends ----
 
 struct broken_head_fixture : cut_fixture {
