Client: a folded field line is malformed

Callers saw (on other systems, and here in a test): an upstream's head with a blank where none may be, and a body that wasn't the upstream's. Here a line that begins with a blank or a tab after another field was taken as more of the value before it. With `X-A: 1` and a line of a tab and `Transfer-Encoding: chunked`, callers got the lines of the chunks as the body.

Cause: Beast joins folded lines. RFC 9112, 5.2 lets a gateway do that or refuse them; joined, a field that the sender meant is lost, and with it the end of the body.

Ruled out: a check after parsing, since Beast replaces the fold by a blank; and reading the whole head before it is parsed, since a head that is malformed would then be noticed only at its end.

Change: the client reads a head by itself and checks each line before Beast parses it; trailers are checked when Beast reports the last chunk, before it parses them.

--- a/linnetlane/runtime/http_client.cpp
+++ b/linnetlane/runtime/http_client.cpp
@@ -1,13 +1,16 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <functional>
 #include <limits>
 #include <map>
 #include <utility>
 
+#include <boost/asio/error.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/beast/core/error.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/read_size.hpp>
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/string_body.hpp>
@@ -128,6 +131,23 @@
     return status >= lowest && status <= highest;
 }
 
+// Returns whether one of the field lines that `received` begins with is continued by a line that
+// begins with a blank. Beast joins the two, though a sender may mean another field by the second.
+auto has_folded_line(std::string_view received) -> bool {
+    constexpr auto line_end = std::string_view{"\r\n"};
+    while (!received.starts_with(line_end)) {
+        auto const end = received.find(line_end);
+        if (end == std::string_view::npos) {
+            return false;
+        }
+        received.remove_prefix(end + line_end.size());
+        if (received.starts_with(' ') || received.starts_with('\t')) {
+            return true;
+        }
+    }
+    return false;
+}
+
 // Also for codes that Beast doesn't know.
 auto is_interim(unsigned status) -> bool {
     return http::to_status_class(status) == http::status_class::informational;
@@ -249,11 +269,67 @@
     std::optional<http::response_parser<http::buffer_body>> parser_slot;
     http_fields fields;
     bool finished = false;
+    // Called by the parser for each chunk, with its size.
+    std::function<void(std::uint64_t, beast::string_view, boost::system::error_code&)> on_chunk =
+        [this](std::uint64_t size, beast::string_view, boost::system::error_code& error) {
+            if (size == 0 && this->has_folded_trailer()) {
+                error = http::error::bad_field;
+            }
+        };
 
     [[nodiscard]] auto parser() -> http::response_parser<http::buffer_body>& {
         return *this->parser_slot;
     }
 
+    // The bytes that the parser hasn't consumed.
+    [[nodiscard]] auto unparsed() const -> std::string_view {
+        auto const bytes = this->used->buffer.cdata();
+        return {static_cast<char const*>(bytes.data()), bytes.size()};
+    }
+
+    // Returns whether a trailer is folded. The buffer begins with the line of the last chunk,
+    // behind the line end of the chunk before it.
+    [[nodiscard]] auto has_folded_trailer() const -> bool {
+        auto lines = this->unparsed();
+        if (lines.starts_with("\r\n")) {
+            lines.remove_prefix(2);
+        }
+        return has_folded_line(lines);
+    }
+
+    // Reads one head into the parser. Returns the number of its bytes. What the parser leaves in
+    // the buffer begins with a line, so that each line is checked before it is parsed.
+    auto parse_head() -> internal::io_result {
+        auto& buffer = this->used->buffer;
+        auto head_bytes = std::size_t{0};
+        for (;;) {
+            if (has_folded_line(this->unparsed())) {
+                return {http::error::bad_field, head_bytes};
+            }
+            auto error = boost::system::error_code{};
+            auto const parsed = this->parser().put(buffer.cdata(), error);
+            buffer.consume(parsed);
+            head_bytes += parsed;
+            if (error != http::error::need_more) {
+                return {error, head_bytes};
+            }
+            auto const space = beast::read_size(buffer, max_response_header_bytes);
+            if (space == 0) {
+                return {http::error::buffer_overflow, head_bytes};
+            }
+            auto const read = internal::await_io([&](auto handler) {
+                this->used->stream.async_read_some(buffer.prepare(space), std::move(handler));
+            });
+            buffer.commit(read.bytes);
+            if (read.error == boost::asio::error::eof) {
+                return {http::error::partial_message, head_bytes};
+            }
+            if (read.error) {
+                return {read.error, head_bytes};
+            }
+        }
+    }
+
     // Reads the head of the next final response. After an error the connection can't be used.
     auto read_head() -> boost::system::error_code {
         auto interim_bytes = std::size_t{0};
@@ -262,10 +338,8 @@
             this->parser().header_limit(max_response_header_bytes);
             this->parser().body_limit(no_body_limit);
             this->parser().skip(!this->has_body);
-            auto const read = internal::await_io([this](auto handler) {
-                http::async_read_header(this->used->stream, this->used->buffer, this->parser(),
-                                        std::move(handler));
-            });
+            this->parser().on_chunk_header(this->on_chunk);
+            auto const read = this->parse_head();
             if (read.error) {
                 return read.error;
             }
--- a/linnetlane/runtime/http_test.cpp
+++ b/linnetlane/runtime/http_test.cpp
@@ -964,6 +964,76 @@
     }
 }
 
+BOOST_FIXTURE_TEST_CASE(a_field_name_with_a_blank_or_a_control_byte_is_malformed,
+                        broken_head_fixture) {
+    for (auto const& name : {std::string{"X A"}, std::string{"X\tA"}, std::string{"X\x01"},
+                             std::string{"X\x7f"}, std::string{"X\x80"}, std::string("X\0A", 3),
+                             std::string{"X-A "}, std::string{"X-A\t"}, std::string{}}) {
+        this->expect_malformed_line(name + ": 1");
+    }
+}
+
+BOOST_FIXTURE_TEST_CASE(a_control_byte_in_a_field_value_is_malformed, broken_head_fixture) {
+    for (auto const& value : {std::string{"a\x01"}, std::string{"a\x7f"}, std::string("a\0b", 3),
+                              std::string{"a\rb"}}) {
+        this->expect_malformed_line("X-A: " + value);
+    }
+}
+
+BOOST_FIXTURE_TEST_CASE(a_first_field_line_that_begins_with_a_blank_is_malformed,
+                        broken_head_fixture) {
+    for (auto const* const line : {" X-A: 1", "\tX-A: 1", " ", "\t"}) {
+        this->expect_malformed(
+            joined({"HTTP/1.1 200 OK\r\n", line, "\r\nContent-Length: 5\r\n\r\nwhole"}));
+        this->expect_malformed(
+            joined({"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n",
+                    line, "\r\n\r\n"}));
+    }
+}
+
+// RFC 9112, 5.2. Servers that mean another field by the line were understood as lengthening a
+// value.
+BOOST_FIXTURE_TEST_CASE(a_folded_field_line_is_malformed, broken_head_fixture) {
+    for (auto const* const line :
+         {" more", "\tTransfer-Encoding: chunked", " Content-Length: 5", " ", "\t"}) {
+        this->expect_malformed_line(line);
+    }
+}
+
+// The line end and the blank behind it may arrive apart.
+BOOST_FIXTURE_TEST_CASE(a_folded_field_line_that_arrives_in_parts_is_malformed,
+                        broken_head_fixture) {
+    auto const folded_head =
+        std::string{"HTTP/1.1 200 OK\r\nX-A: 1\r\n\tb\r\nContent-Length: 5\r\n\r\nwhole"};
+    auto const folded_trailers = std::string{
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n"
+        "0\r\nX-A: 1\r\n b\r\n\r\n"};
+    for (auto const& bytes : {folded_head, folded_trailers}) {
+        for (auto size = std::size_t{1}; size < bytes.size(); ++size) {
+            auto const server =
+                raw_server{{.parts = {bytes.substr(0, size), bytes.substr(size)}, .pause = 2ms}};
+            auto const fetched = this->fetch_from(server, false);
+            BOOST_TEST_REQUIRE(!base::succeeded(fetched), size << bytes);
+            BOOST_TEST((base::failure_of(fetched)->kind == http_failure_kind::malformed));
+        }
+    }
+}
+
+BOOST_FIXTURE_TEST_CASE(lines_of_a_body_may_begin_with_blanks, cut_fixture) {
+    auto const body = std::string{"\r\n one\r\n\ttwo"};
+    for (auto const& bytes : {"HTTP/1.1 200 OK\r\nContent-Length: 12\r\n\r\n" + body,
+                              "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nc\r\n" + body +
+                                  "\r\n0\r\nX-Sum: 12\r\n\r\n"}) {
+        for (auto size = std::size_t{1}; size <= bytes.size(); ++size) {
+            auto const server =
+                raw_server{{.parts = {bytes.substr(0, size), bytes.substr(size)}, .pause = 2ms}};
+            auto const fetched = this->fetch_from(server, false);
+            BOOST_TEST_REQUIRE(base::succeeded(fetched), size << bytes);
+            BOOST_TEST(base::value_of(fetched).body == body);
+        }
+    }
+}
+
 // ---- What clients receive of responses without a body, of old clients, and of aborted ones ----
 
 // The bytes that a client received, and whether the connection was closed regularly.
