Answers without end take no more memory than a share of the host's limit

Callers saw (on other systems): a faulty upstream sent bytes without end until it was closed. The host that had called it kept them, ran out of memory, and the requests of its other callers ended with it.

Cause here: each answer is bounded (16 MiB fetched, 8 MiB of a plain body, 1 MiB of an event), their sum isn't. A reservation, which is some bytes, could take 16 MiB. And half of the heap was gaps: bodies that grow leave blocks that other sizes don't fit into, between the stacks of fibers.

Change: - runtime/response_memory.h: the responses that a process receives and sends have one limit. When it is exceeded, the response that holds most among those of the server that holds most gives way (http_failure_kind::no_memory), so that it is never another server's. Callers that read slowly are counted too: if they hold more than half, the response that has been sent longest gives way.

Ruled out: to pass on requests that may run once as the bytes come. It would bound them by the caller's speed, but their callers would get a part of an answer instead of a 502. A smaller limit for each answer: sound ones reach some megabytes, and 400 of them are still more than a host has.

Cost: with the limit reached, sound answers of the same upstream may give way if they hold more than its endless ones.

--- a/linnetlane/router/configuration_confirmer.h
+++ b/linnetlane/router/configuration_confirmer.h
@@ -222,9 +222,9 @@
         auto const asked_at = base::boot_clock::now();
         // The rest of the bound is for the way of the answer.
         auto const wanted = bound * 5 / 6;
-        auto const fetched = runtime::fetch(*followed.peers, make_configuration_request(wanted),
-                                            runtime::connection_use::pooled,
-                                            base::monotonic_clock::now() + peer_timeout);
+        auto const fetched = runtime::fetch(
+            *followed.peers, make_configuration_request(wanted), runtime::connection_use::pooled,
+            base::monotonic_clock::now() + peer_timeout, max_peer_answer);
         auto const* const response = std::get_if<runtime::http_response>(&fetched);
         auto const state = response != nullptr && response->status == 200
                                ? decode_configuration_state(response->body)
--- a/linnetlane/router/fact_publisher.h
+++ b/linnetlane/router/fact_publisher.h
@@ -64,8 +64,9 @@
     }
 
     auto send(runtime::http_request const& report, host_entry const& reader) -> void {
-        auto const sent = runtime::fetch(*reader.peers, report, runtime::connection_use::pooled,
-                                         base::monotonic_clock::now() + report_timeout);
+        auto const sent =
+            runtime::fetch(*reader.peers, report, runtime::connection_use::pooled,
+                           base::monotonic_clock::now() + report_timeout, max_peer_answer);
         auto const* const response = std::get_if<runtime::http_response>(&sent);
         // A host that can't be reached gets the facts with a later report.
         if (response != nullptr && response->status != 200) {
--- a/linnetlane/router/generation_forwarder.h
+++ b/linnetlane/router/generation_forwarder.h
@@ -374,11 +374,10 @@
             engine.address,
             Wire::make_reserve_request(engine.id, this->reserved_tokens(), this->reservation_ttl()),
             runtime::connection_use::pooled,
-            std::min(this->context.answer_by(), now + reservation_timeout));
+            std::min(this->context.answer_by(), now + reservation_timeout), max_control_answer);
         auto& pool = this->context.state().generation;
-        if (base::failure_of(called) != nullptr) {
-            this->context.note_no_answer(engine.address);
-            this->reached_none = true;
+        if (auto const* const failed = base::failure_of(called)) {
+            this->note_failed_reservation(engine.address, *failed);
             pool.note_outcome(engine.id, routing::exchange_outcome::transport_failure, now);
             this->log_step(engine.id, "reservation got no answer");
             return std::nullopt;
@@ -408,6 +407,17 @@
         return reserved;
     }
 
+    auto note_failed_reservation(base::endpoint const& engine, runtime::http_failure const& failed)
+        -> void {
+        this->reached_none = true;
+        if (is_broken_answer(failed)) {
+            this->context.note_abandoned(engine, base::monotonic_clock::now());
+            log_broken_answer(this->context, engine, failed);
+        } else {
+            this->context.note_no_answer(engine);
+        }
+    }
+
     [[nodiscard]] auto reserved_tokens() const -> base::token_count {
         return this->context.caller.size ? routing::memory_to_reserve(
                                                *this->context.caller.size,
@@ -606,8 +616,11 @@
         if (opened->head.load) {
             pool.note_load(engine.id, *opened->head.load, now);
         }
-        auto const body = opened->stream.read_all(max_engine_answer_bytes, deadline);
+        auto const body = opened->stream.read_all(max_prefill_answer_bytes, deadline);
         auto const* const broken = base::failure_of(body);
+        if (broken != nullptr) {
+            log_broken_answer(this->context, engine.address, *broken);
+        }
         if (broken != nullptr && this->context.was_broken_off(*broken)) {
             this->note_upstream_ended(engine.id, false);
         }
@@ -737,7 +750,7 @@
         if (this->relay.started()) {
             return attempt_result::interrupted;
         }
-        return success ? attempt_result::outcome_unknown : this->forward_failure(opened);
+        return success ? attempt_result::outcome_unknown : this->forward_failure(reserved, opened);
     }
 
     auto relay_stream(decode_reservation const& reserved, opened_answer& opened) -> attempt_result {
@@ -777,9 +790,11 @@
         }
     }
 
-    auto forward_failure(opened_answer& opened) -> attempt_result {
+    auto forward_failure(decode_reservation const& reserved, opened_answer& opened)
+        -> attempt_result {
         auto body = opened.stream.read_all(max_engine_answer_bytes, this->context.answer_by());
-        if (base::failure_of(body) != nullptr) {
+        if (auto const* const broken = base::failure_of(body)) {
+            log_broken_answer(this->context, reserved.engine.address, *broken);
             return attempt_result::outcome_unknown;
         }
         this->forwarded_status = opened.head.status;
@@ -930,7 +945,9 @@
                                        this->context.arrived}});
     }
 
-    // The limit on the bodies of answers that are not streamed.
+    // The limit on the bodies of prefill results, which are the name of one.
+    static constexpr auto max_prefill_answer_bytes = std::size_t{64} * 1024;
+    // The limit on the bodies of other answers that are not streamed.
     static constexpr auto max_engine_answer_bytes = std::size_t{1} * 1024 * 1024;
 
     request_context const& context;
--- a/linnetlane/router/host_membership.h
+++ b/linnetlane/router/host_membership.h
@@ -456,7 +456,8 @@
         auto const authority = order_authority{this->host.settings.host, this->claim->fence};
         auto const answered = runtime::fetch(
             address, Wire::make_stage_order(change.engine, change.to, authority, *report),
-            runtime::connection_use::pooled, base::monotonic_clock::now() + call_timeout);
+            runtime::connection_use::pooled, base::monotonic_clock::now() + call_timeout,
+            max_control_answer);
         auto const* const response = std::get_if<runtime::http_response>(&answered);
         auto const accepted =
             response != nullptr && (response->status == 202 || response->status == 200);
@@ -469,9 +470,9 @@
 
     auto ask_report(base::upstream_id const& engine, base::service_id const& service,
                     base::endpoint const& address) -> std::optional<engine_report> {
-        auto const answered = runtime::fetch(address, Wire::make_report_request(engine),
-                                             runtime::connection_use::pooled,
-                                             base::monotonic_clock::now() + call_timeout);
+        auto const answered = runtime::fetch(
+            address, Wire::make_report_request(engine), runtime::connection_use::pooled,
+            base::monotonic_clock::now() + call_timeout, max_control_answer);
         auto const* const response = std::get_if<runtime::http_response>(&answered);
         if (response != nullptr) {
             note_announcements(this->host, service, engine,
--- a/linnetlane/router/isolation_watch.h
+++ b/linnetlane/router/isolation_watch.h
@@ -110,9 +110,9 @@
         if (!target) {
             return false;
         }
-        auto const answered = runtime::fetch(target->address, Wire::make_report_request(target->id),
-                                             runtime::connection_use::fresh,
-                                             base::monotonic_clock::now() + probe_timeout);
+        auto const answered = runtime::fetch(
+            target->address, Wire::make_report_request(target->id), runtime::connection_use::fresh,
+            base::monotonic_clock::now() + probe_timeout, max_control_answer);
         return base::succeeded(answered);
     }
 
--- a/linnetlane/router/messages.h
+++ b/linnetlane/router/messages.h
@@ -128,6 +128,12 @@
     std::optional<routing::load_report> load;
 };
 
+// The limit on the bodies of upstreams' answers to calls of the router itself: a reservation, its
+// release, an order, a report. Sound ones have some hundred bytes.
+inline constexpr auto max_control_answer = base::byte_count{std::int64_t{64} * 1024};
+// The limit on the bodies of other hosts' answers that hold no configuration.
+inline constexpr auto max_peer_answer = base::byte_count{std::int64_t{1} * 1024 * 1024};
+
 // A reservation of memory for one generation at a decode engine.
 using reservation_id = base::basic_name<struct reservation_tag>;
 // The result of a prefill, which the prefill engine keeps.
--- a/linnetlane/router/peer_forwarder.h
+++ b/linnetlane/router/peer_forwarder.h
@@ -127,6 +127,7 @@
                 return request_result{request_outcome::caller_left};
             }
             this->log(peer, "answer is incomplete", opened.head.status);
+            log_broken_answer(this->context, opened.from, *failed);
             if (this->context.has_timed_out(*failed)) {
                 return refuse<Wire>(this->context,
                                     refusal{refusal_reason::timed_out, std::nullopt});
@@ -146,7 +147,8 @@
         auto sent = responder.start(status, Wire::answer_fields(opened.stream.fields()));
         while (sent) {
             auto const piece = opened.stream.read_some(this->context.answer_by());
-            if (base::failure_of(piece) != nullptr) {
+            if (auto const* const failed = base::failure_of(piece)) {
+                log_broken_answer(this->context, opened.from, *failed);
                 responder.abort();
                 return request_result{request_outcome::cut_off, status};
             }
--- a/linnetlane/router/plain_forwarder.h
+++ b/linnetlane/router/plain_forwarder.h
@@ -16,6 +16,7 @@
 #include "linnetlane/router/request_context.h"
 #include "linnetlane/router/stream_relay.h"
 #include "linnetlane/routing/retry_after.h"
+#include "linnetlane/runtime/response_memory.h"
 
 namespace linnetlane::router {
 
@@ -273,6 +274,7 @@
             }
             this->note(target, routing::exchange_outcome::transport_failure, sent_at, std::nullopt);
             this->log_attempt(target, "answer is incomplete");
+            log_broken_answer(this->context, target.address, *failed);
             if (this->context.has_timed_out(*failed)) {
                 return this->give_up(refusal_reason::timed_out);
             }
@@ -297,7 +299,7 @@
         if (!failed_there) {
             return this->send_answer(response);
         }
-        this->failed_answer = std::move(response);
+        this->failed_answer.emplace(target.address, std::move(response));
         this->log_attempt(target, "upstream answered with a server error");
         return this->retry_or_give_up(refusal_reason::outcome_unknown);
     }
@@ -337,8 +339,8 @@
     }
 
     auto give_up(refusal_reason reason) -> request_result {
-        if (this->failed_answer) {
-            return this->send_answer(*this->failed_answer);
+        if (auto const failed = this->failed_answer ? this->failed_answer->take() : std::nullopt) {
+            return this->send_answer(*failed);
         }
         auto refused = refusal{reason, std::nullopt};
         auto const outcome_is_unknown = this->may_have_run && reason != refusal_reason::timed_out;
@@ -404,7 +406,7 @@
     bool may_have_run = false;
     refusal_reason last_reason = refusal_reason::no_upstream;
     // The failed answer of an upstream, which is forwarded if no other upstream succeeds.
-    std::optional<runtime::http_response> failed_answer;
+    std::optional<runtime::kept_response> failed_answer;
 };
 
 }  // namespace linnetlane::router
--- a/linnetlane/router/quota_service.h
+++ b/linnetlane/router/quota_service.h
@@ -204,9 +204,9 @@
 
     auto ask(host_entry const& keeper, quota_question const& question, base::duration timeout)
         -> std::optional<quota_answer> {
-        auto const sent =
-            runtime::fetch(*keeper.peers, make_quota_request(question),
-                           runtime::connection_use::pooled, base::monotonic_clock::now() + timeout);
+        auto const sent = runtime::fetch(*keeper.peers, make_quota_request(question),
+                                         runtime::connection_use::pooled,
+                                         base::monotonic_clock::now() + timeout, max_peer_answer);
         auto const* const response = std::get_if<runtime::http_response>(&sent);
         auto const answer = response != nullptr && response->status == 200
                                 ? decode_quota_answer(response->body)
--- a/linnetlane/router/registry_follower.h
+++ b/linnetlane/router/registry_follower.h
@@ -673,8 +673,9 @@
         for (auto const& each : asked) {
             this->host.pool.spawn([each, deadline, results] {
                 // Every host answers a report without facts at once.
-                auto const answered = runtime::fetch(*each.peers, make_fact_report({}),
-                                                     runtime::connection_use::pooled, deadline);
+                auto const answered =
+                    runtime::fetch(*each.peers, make_fact_report({}),
+                                   runtime::connection_use::pooled, deadline, max_peer_answer);
                 if (base::succeeded(answered)) {
                     results->alive.insert(each.host);
                 }
--- a/linnetlane/router/request_context.h
+++ b/linnetlane/router/request_context.h
@@ -291,10 +291,46 @@
 
 // An answer whose head has been read.
 struct opened_answer {
+    base::endpoint from;
     runtime::http_stream stream;
     upstream_answer head;
 };
 
+// Returns why an answer could not be used, for the log.
+[[nodiscard]] inline auto describe(runtime::http_failure_kind kind) -> telemetry::literal {
+    switch (kind) {
+        case runtime::http_failure_kind::connect_failed:
+            return "no connection";
+        case runtime::http_failure_kind::timed_out:
+            return "timed out";
+        case runtime::http_failure_kind::closed:
+            return "connection ended";
+        case runtime::http_failure_kind::malformed:
+            return "malformed";
+        case runtime::http_failure_kind::too_large:
+            return "too large";
+        case runtime::http_failure_kind::no_memory:
+            break;
+    }
+    return "all answers together take too much memory";
+}
+
+// Returns whether bytes came that are no answer, as opposed to none.
+[[nodiscard]] inline auto is_broken_answer(runtime::http_failure const& failed) -> bool {
+    return failed.send_state == runtime::send_state::may_have_been_sent &&
+           (failed.kind == runtime::http_failure_kind::malformed ||
+            failed.kind == runtime::http_failure_kind::too_large ||
+            failed.kind == runtime::http_failure_kind::no_memory);
+}
+
+// Logs that what an upstream or another host sent is no answer to the request.
+inline auto log_broken_answer(request_context const& context, base::endpoint const& from,
+                              runtime::http_failure const& failed) -> void {
+    context.host.log.write(
+        telemetry::log_level::info, "answer can't be used",
+        {context.caller.id, context.service, from, {"cause", describe(failed.kind)}});
+}
+
 using exchange_result = std::variant<opened_answer, exchange_failure_kind>;
 
 // The number of answers to other requests that are skipped on a connection before it is abandoned.
@@ -329,6 +365,8 @@
                 return exchange_failure_kind::timed_out;
             case runtime::http_failure_kind::malformed:
             case runtime::http_failure_kind::too_large:
+            case runtime::http_failure_kind::no_memory:
+                log_broken_answer(context, to, failed);
                 return exchange_failure_kind::unusable_answer;
             case runtime::http_failure_kind::connect_failed:
             case runtime::http_failure_kind::closed:
@@ -350,7 +388,7 @@
         }
         auto const foreign = head.request && !(*head.request == context.caller.id);
         if (!foreign) {
-            return opened_answer{std::move(stream), std::move(head)};
+            return opened_answer{to, std::move(stream), std::move(head)};
         }
         auto const next = stream.read_next_response(deadline);
         if (auto const* failed = base::failure_of(next)) {
@@ -391,8 +429,9 @@
 inline auto send_in_background(host_context const& host, base::endpoint to,
                                runtime::http_request message) -> void {
     host.pool.spawn([&log = host.log, to = std::move(to), message = std::move(message)] {
-        auto const sent = runtime::fetch(to, message, runtime::connection_use::pooled,
-                                         base::monotonic_clock::now() + release_timeout);
+        auto const sent =
+            runtime::fetch(to, message, runtime::connection_use::pooled,
+                           base::monotonic_clock::now() + release_timeout, max_control_answer);
         if (base::failure_of(sent) != nullptr) {
             log.write(telemetry::log_level::warning, "release of engine memory got no answer",
                       {to});
--- a/linnetlane/router/settings.cpp
+++ b/linnetlane/router/settings.cpp
@@ -75,6 +75,20 @@
     }
 }
 
+auto read_memory(toml_reader& reader, memory_settings& target) -> void {
+    constexpr auto bytes_per_megabyte = std::int64_t{1'000'000};
+    constexpr auto most_megabytes = std::int64_t{1'000'000'000};
+    auto megabytes = std::int64_t{0};
+    if (!reader.read("process_megabytes", megabytes)) {
+        return;
+    }
+    if (megabytes <= 0 || megabytes > most_megabytes) {
+        reader.report(toml_fault::out_of_bounds, "process_megabytes", "expected 1 to 1000000000");
+        return;
+    }
+    target.process = base::byte_count{megabytes * bytes_per_megabyte};
+}
+
 auto read_all(toml_reader& reader, router_settings& target) -> void {
     reader.require("host", target.host);
     reader.require("data_centre", target.data_centre);
@@ -104,6 +118,7 @@
     reader.read_table("accounts",
                       [&](toml_reader& accounts) { read_accounts(accounts, target.accounts); });
     reader.read_table("quotas", [&](toml_reader& quotas) { read_quotas(quotas, target.quotas); });
+    reader.read_table("memory", [&](toml_reader& memory) { read_memory(memory, target.memory); });
     reader.read_table("changes", [&](toml_reader& changes) {
         read_positive(changes, "applied_within", target.changes.applied_within);
     });
--- a/linnetlane/router/settings.h
+++ b/linnetlane/router/settings.h
@@ -4,6 +4,7 @@
 #define LINNETLANE_ROUTER_SETTINGS_H_
 
 #include <chrono>
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -78,6 +79,17 @@
     base::duration applied_within = std::chrono::seconds{2};
 };
 
+// The memory that this host may use.
+struct memory_settings {
+    // The limit on the process. The answers that are being received or sent take at most a quarter
+    // of it together.
+    base::byte_count process{std::int64_t{512} * 1'000'000};
+
+    [[nodiscard]] auto answers() const -> base::byte_count {
+        return base::byte_count{this->process.value / 4};
+    }
+};
+
 struct router_settings {
     base::host_id host;
     base::data_centre_id data_centre;
@@ -93,6 +105,7 @@
     account_settings accounts;
     quota_settings quotas;
     change_settings changes;
+    memory_settings memory;
     // The minimum time between the orders of two successive order givers.
     base::duration order_lease = std::chrono::seconds{3};
     // The whole fleet is started for the first time, so there is no previous order giver.
--- a/linnetlane/router/settings_test.cpp
+++ b/linnetlane/router/settings_test.cpp
@@ -26,6 +26,8 @@
 grace = "8s"
 [changes]
 applied_within = "1500ms"
+[memory]
+process_megabytes = 110
 )"};
 
 BOOST_AUTO_TEST_CASE(settings_are_read_with_their_units) {
@@ -39,6 +41,19 @@
     BOOST_TEST(read->retries.slack == 54.0);
     BOOST_TEST(base::to_seconds(read->leaving.grace) == 8.0);
     BOOST_TEST(base::to_seconds(read->changes.applied_within) == 1.5);
+    BOOST_TEST(read->memory.process == base::byte_count{110'000'000});
+    BOOST_TEST(read->memory.answers() == base::byte_count{27'500'000});
+}
+
+BOOST_AUTO_TEST_CASE(a_memory_limit_out_of_bounds_is_reported) {
+    for (auto const* const megabytes : {"0", "-1", "1000000001"}) {
+        auto text = whole;
+        text.replace(text.find("110"), 3, megabytes);
+        auto const parsed = parse_router_settings(text);
+        auto const* const problems = base::failure_of(parsed);
+        BOOST_REQUIRE(problems != nullptr);
+        BOOST_TEST(problems->size() == 1U);
+    }
 }
 
 BOOST_AUTO_TEST_CASE(all_problems_are_reported_at_once) {
--- a/linnetlane/router/stream_origin_finder.h
+++ b/linnetlane/router/stream_origin_finder.h
@@ -157,8 +157,9 @@
         auto const results = std::make_shared<answers>();
         for (auto const& each : asked) {
             this->host.pool.spawn([each, question, deadline, results] {
-                auto const fetched = runtime::fetch(*each.peers, make_origin_request(question),
-                                                    runtime::connection_use::pooled, deadline);
+                auto const fetched =
+                    runtime::fetch(*each.peers, make_origin_request(question),
+                                   runtime::connection_use::pooled, deadline, max_peer_answer);
                 auto const* const response = std::get_if<runtime::http_response>(&fetched);
                 auto answer = response != nullptr && response->status == 200
                                   ? decode_origin_answer(response->body)
--- a/linnetlane/router/stream_relay.h
+++ b/linnetlane/router/stream_relay.h
@@ -41,7 +41,7 @@
             auto piece = from.stream.read_some(this->context.answer_by());
             if (auto const* failed = base::failure_of(piece)) {
                 this->framing.discard_incomplete();
-                return this->outcome_for(*failed);
+                return this->outcome_for(from, *failed);
             }
             this->context.note_answer();
             auto const& bytes = base::value_of(piece);
@@ -51,6 +51,7 @@
             if (!this->forward(this->framing.take(bytes))) {
                 return relay_outcome::caller_left;
             }
+            from.stream.note_kept(this->framing.incomplete().capacity());
             if (this->framing.is_oversized()) {
                 this->framing.discard_incomplete();
                 return relay_outcome::interrupted;
@@ -135,10 +136,12 @@
                                                 : relay_outcome::caller_left;
     }
 
-    [[nodiscard]] auto outcome_for(runtime::http_failure const& failed) const -> relay_outcome {
+    [[nodiscard]] auto outcome_for(opened_answer const& from,
+                                   runtime::http_failure const& failed) const -> relay_outcome {
         if (this->context.cancelled.cancelled()) {
             return relay_outcome::caller_left;
         }
+        log_broken_answer(this->context, from.from, failed);
         return this->context.has_timed_out(failed) ? relay_outcome::timed_out
                                                    : relay_outcome::interrupted;
     }
--- a/linnetlane/runtime/http.h
+++ b/linnetlane/runtime/http.h
@@ -17,6 +17,7 @@
 #include "linnetlane/base/endpoint.h"
 #include "linnetlane/base/result.h"
 #include "linnetlane/base/time.h"
+#include "linnetlane/base/units.h"
 #include "linnetlane/runtime/tls.h"
 #include "linnetlane/runtime/worker_pool.h"
 
@@ -46,7 +47,16 @@
 };
 
 // Why an exchange failed.
-enum class http_failure_kind { connect_failed, timed_out, closed, malformed, too_large };
+enum class http_failure_kind {
+    connect_failed,
+    timed_out,
+    closed,
+    malformed,
+    too_large,
+    // All responses together need too much memory, and this one had to give way
+    // (response_memory.h).
+    no_memory,
+};
 
 // Whether the other side may have seen the request.
 enum class send_state { not_sent, may_have_been_sent };
@@ -63,9 +73,9 @@
 //
 // A body with neither a length nor chunks ends with its connection. It is complete only if the
 // request had been written whole by then: a server that stops reading a request may reset the
-// connection, which can end the body anywhere and can look like a regular end. Reading it then fails
-// with `closed`. A body with a length or a last chunk is complete by what it states, also if the
-// request was not written whole.
+// connection, which can end the body anywhere and can look like a regular end. Reading it then
+// fails with `closed`. A body with a length or a last chunk is complete by what it states, also if
+// the request was not written whole.
 class http_stream {
 public:
     struct state;
@@ -88,6 +98,9 @@
     // for upstreams that send an unsolicited response before the expected one.
     [[nodiscard]] auto read_next_response(base::time_point deadline)
         -> base::result<base::nothing, http_failure>;
+    // States how many bytes of memory the reader uses for what it has read. They count toward the
+    // memory of all responses; after this response had to give way, reading it fails.
+    auto note_kept(std::size_t bytes) -> void;
     // Reads the rest of the body, at most `most` bytes.
     [[nodiscard]] auto read_all(std::size_t most, base::time_point deadline)
         -> base::result<std::string, http_failure>;
@@ -126,12 +139,16 @@
                                connection_use use, base::time_point deadline)
     -> base::result<http_stream, http_failure>;
 
-// Sends `request` and waits for the complete response. Call on a worker.
+// Sends `request` and waits for the complete response, whose body may have `most` bytes. Call on a
+// worker.
+inline constexpr auto max_fetched_body = base::byte_count{std::int64_t{16} * 1024 * 1024};
 [[nodiscard]] auto fetch(base::endpoint const& to, http_request const& request, connection_use use,
-                         base::time_point deadline, cancel_hook const& hook)
+                         base::time_point deadline, cancel_hook const& hook,
+                         base::byte_count most = max_fetched_body)
     -> base::result<http_response, http_failure>;
 [[nodiscard]] auto fetch(base::endpoint const& to, http_request const& request, connection_use use,
-                         base::time_point deadline) -> base::result<http_response, http_failure>;
+                         base::time_point deadline, base::byte_count most = max_fetched_body)
+    -> base::result<http_response, http_failure>;
 
 // ---- Server ----
 
--- a/linnetlane/runtime/http_client.cpp
+++ b/linnetlane/runtime/http_client.cpp
@@ -8,6 +8,7 @@
 
 #include <boost/asio/error.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/beast/core/error.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/read_size.hpp>
@@ -20,6 +21,7 @@
 #include "linnetlane/runtime/internal/await.h"
 #include "linnetlane/runtime/internal/beast_messages.h"
 #include "linnetlane/runtime/internal/byte_stream.h"
+#include "linnetlane/runtime/response_memory.h"
 
 namespace linnetlane::runtime {
 
@@ -36,7 +38,6 @@
 // Readers limit the length of a response themselves. Without a limit, Beast rejects every declared
 // length as too long.
 constexpr auto no_body_limit = std::numeric_limits<std::uint64_t>::max();
-constexpr auto fetched_body_bytes = std::size_t{16} * 1024 * 1024;
 // Received bytes that the parser can't use yet. Beast doesn't limit the line before a chunk, for
 // which it would wait without end.
 constexpr auto max_buffered_bytes = std::size_t{256} * 1024;
@@ -90,6 +91,9 @@
 auto keep_idle(base::endpoint const& to, connection_pointer used) -> void {
     auto& kept = idle_connections[to];
     if (kept.size() < kept_connections_per_endpoint) {
+        if (used->buffer.capacity() > chunk_bytes) {
+            used->buffer.shrink_to_fit();
+        }
         kept.push_back(std::move(used));
     }
 }
@@ -261,8 +265,21 @@
 }  // namespace
 
 struct http_stream::state {
+    state(base::endpoint const& own_to, connection_pointer own_used)
+        : to{own_to},
+          used{std::move(own_used)},
+          memory{std::in_place, process_response_memory(),
+                 response_group{response_direction::received, own_to},
+                 [&context = this_context(), connection = this->used] {
+                     boost::asio::post(context, [connection] { connection->stream.close(); });
+                 }} {}
+
     base::endpoint to;
     connection_pointer used;
+    // Empty at the end of the body.
+    std::optional<response_memory::share> memory;
+    // What the reader uses for what it has read.
+    std::size_t kept_bytes = 0;
     std::shared_ptr<outgoing> sending;
     // The response to a HEAD request has none.
     bool has_body = true;
@@ -281,6 +298,40 @@
         return *this->parser_slot;
     }
 
+    // Counts what the response holds. Returns false if it has to give way to others.
+    auto count_memory() -> bool {
+        auto const bytes = this->kept_bytes + this->used->buffer.capacity();
+        return this->memory->resize(base::byte_count{static_cast<std::int64_t>(bytes)});
+    }
+
+    auto note_kept(std::size_t bytes) -> bool {
+        this->kept_bytes = bytes;
+        return !this->memory || this->count_memory();
+    }
+
+    // Makes `whole`, which the reader keeps, large enough for `more` bytes, within `most`. Returns
+    // false if the response has to give way to others.
+    auto reserve(std::string& whole, std::size_t more, std::size_t most) -> bool {
+        auto const needed = whole.size() + more;
+        if (needed <= whole.capacity()) {
+            return true;
+        }
+        auto const capacity = std::min(std::max(needed, 2 * whole.capacity()), most);
+        // There are two copies for a moment.
+        if (!this->note_kept(whole.capacity() + capacity)) {
+            return false;
+        }
+        whole.reserve(capacity);
+        return this->note_kept(whole.capacity());
+    }
+
+    // What a failed read means.
+    auto failure_of_read(boost::system::error_code error) -> http_failure {
+        return this->memory && !this->count_memory()
+                   ? http_failure{http_failure_kind::no_memory, send_state::may_have_been_sent}
+                   : failure_after_send(error);
+    }
+
     // The bytes that the parser hasn't consumed.
     [[nodiscard]] auto unparsed() const -> std::string_view {
         auto const bytes = this->used->buffer.cdata();
@@ -321,6 +372,9 @@
                 this->used->stream.async_read_some(buffer.prepare(space), std::move(handler));
             });
             buffer.commit(read.bytes);
+            if (!this->count_memory()) {
+                return {boost::asio::error::operation_aborted, head_bytes};
+            }
             if (read.error == boost::asio::error::eof) {
                 return {http::error::partial_message, head_bytes};
             }
@@ -379,6 +433,9 @@
             if (read.error && read.error != http::error::need_buffer) {
                 return read.error;
             }
+            if (!this->count_memory()) {
+                return boost::system::error_code{boost::asio::error::operation_aborted};
+            }
             auto const bytes = chunk.size() - body.size;
             if (bytes > 0) {
                 return bytes;
@@ -396,8 +453,11 @@
             return;
         }
         this->finished = true;
-        auto const reusable = this->parser().get().keep_alive() && this->used->buffer.size() == 0 &&
-                              this->sending->written;
+        // Otherwise the connection is about to be closed.
+        auto const has_memory = this->count_memory();
+        this->memory.reset();
+        auto const reusable = has_memory && this->parser().get().keep_alive() &&
+                              this->used->buffer.size() == 0 && this->sending->written;
         if (reusable) {
             this->used->reusable_until = base::monotonic_clock::now() + keep_time(this->fields);
             keep_idle(this->to, std::move(this->used));
@@ -440,7 +500,7 @@
     auto chunk = std::array<char, chunk_bytes>{};
     auto const read = own.read_chunk(chunk);
     if (auto const* error = base::failure_of(read)) {
-        return failure_after_send(*error);
+        return own.failure_of_read(*error);
     }
     auto const bytes = base::value_of(read);
     if (bytes == 0) {
@@ -449,6 +509,11 @@
     return std::string(chunk.data(), bytes);
 }
 
+auto http_stream::note_kept(std::size_t bytes) -> void {
+    // The next read fails if the response has to give way.
+    static_cast<void>(this->opened->note_kept(bytes));
+}
+
 auto http_stream::read_all(std::size_t most, base::time_point deadline)
     -> base::result<std::string, http_failure> {
     auto whole = std::string{};
@@ -465,6 +530,10 @@
             this->close();
             return http_failure{http_failure_kind::too_large, send_state::may_have_been_sent};
         }
+        if (!this->opened->reserve(whole, bytes.size(), most)) {
+            this->close();
+            return http_failure{http_failure_kind::no_memory, send_state::may_have_been_sent};
+        }
         whole += bytes;
     }
 }
@@ -487,7 +556,7 @@
     for (;;) {
         auto const read = own.read_chunk(chunk);
         if (auto const* error = base::failure_of(read)) {
-            return failure_after_send(*error);
+            return own.failure_of_read(*error);
         }
         if (base::value_of(read) == 0) {
             break;
@@ -503,7 +572,7 @@
     }
     if (auto const error = own.read_head()) {
         this->close();
-        return failure_after_send(error);
+        return own.failure_of_read(error);
     }
     return base::nothing{};
 }
@@ -523,9 +592,7 @@
     if (auto const* failure = base::failure_of(taken)) {
         return *failure;
     }
-    auto state = std::make_unique<http_stream::state>();
-    state->to = to;
-    state->used = base::take_value(std::move(taken));
+    auto state = std::make_unique<http_stream::state>(to, base::take_value(std::move(taken)));
     hook([used = state->used] { used->stream.close(); });
     state->used->stream.expires_at(deadline);
     state->sending = std::make_shared<outgoing>(outgoing{state->used, to_message(to, request)});
@@ -533,25 +600,27 @@
     state->has_body = request.method != "HEAD";
     if (auto const error = state->read_head()) {
         state->used->stream.close();
-        return failure_after_send(error);
+        return state->failure_of_read(error);
     }
     return http_stream(std::move(state));
 }
 
 auto fetch(base::endpoint const& to, http_request const& request, connection_use use,
-           base::time_point deadline) -> base::result<http_response, http_failure> {
-    return fetch(to, request, use, deadline, [](std::function<void()> const&) {});
+           base::time_point deadline, base::byte_count most)
+    -> base::result<http_response, http_failure> {
+    return fetch(
+        to, request, use, deadline, [](std::function<void()> const&) {}, most);
 }
 
 auto fetch(base::endpoint const& to, http_request const& request, connection_use use,
-           base::time_point deadline, cancel_hook const& hook)
+           base::time_point deadline, cancel_hook const& hook, base::byte_count most)
     -> base::result<http_response, http_failure> {
     auto opened = open_stream(to, request, use, deadline, hook);
     if (auto const* failure = base::failure_of(opened)) {
         return *failure;
     }
     auto stream = base::take_value(std::move(opened));
-    auto body = stream.read_all(fetched_body_bytes, deadline);
+    auto body = stream.read_all(static_cast<std::size_t>(most.value), deadline);
     if (auto const* failure = base::failure_of(body)) {
         return *failure;
     }
--- a/linnetlane/runtime/http_server.cpp
+++ b/linnetlane/runtime/http_server.cpp
@@ -13,6 +13,7 @@
 #include <boost/beast/http/empty_body.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/serializer.hpp>
+#include <boost/beast/http/span_body.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
 
@@ -21,6 +22,7 @@
 #include "linnetlane/runtime/internal/beast_messages.h"
 #include "linnetlane/runtime/internal/byte_stream.h"
 #include "linnetlane/runtime/internal/listen.h"
+#include "linnetlane/runtime/response_memory.h"
 
 namespace linnetlane::runtime {
 
@@ -35,6 +37,8 @@
 constexpr auto closed_check_interval = std::chrono::milliseconds{100};
 // Delay before the next accept after a failed one, such as when file descriptors have run out.
 constexpr auto accept_retry_interval = std::chrono::milliseconds{50};
+// Smaller parts of a response aren't counted while they are sent.
+constexpr auto min_counted_bytes = std::size_t{16} * 1024;
 
 using request_parser = http::request_parser<http::string_body>;
 
@@ -197,16 +201,33 @@
             [&](auto handler) { asio::async_write(this->stream, buffers, std::move(handler)); }));
     }
 
+    // Counts so many bytes that are sent toward the memory of all responses, as long as the result
+    // exists. The connection is closed if the response has to give way to others.
+    auto count_memory(std::size_t bytes) -> std::unique_ptr<response_memory::share> {
+        if (bytes < min_counted_bytes || this->gone) {
+            return nullptr;
+        }
+        auto counted = std::make_unique<response_memory::share>(
+            process_response_memory(), response_group{response_direction::sent},
+            [self = this->shared_from_this()] {
+                asio::post(self->stream.get_executor(), [self] { self->stream.close(); });
+            });
+        // The write fails if this response has to give way at once.
+        static_cast<void>(counted->resize(base::byte_count{static_cast<std::int64_t>(bytes)}));
+        return counted;
+    }
+
     auto send(http_response const& response) -> bool {
         this->answered = true;
-        auto message = http::response<http::string_body>{};
+        auto const counted = this->count_memory(response.body.size());
+        auto message = http::response<http::span_body<char const>>{};
         message.version(http_1_1);
         message.result(static_cast<unsigned>(response.status));
         internal::copy_fields(response.fields, message);
         this->keep_alive = this->stays_open();
         message.keep_alive(this->keep_alive);
         if (!has_no_body(response.status)) {
-            message.body() = response.body;
+            message.body() = {response.body.data(), response.body.size()};
         }
         message.prepare_payload();
         return this->head_only ? this->write_head(message) : this->write_message(message);
@@ -242,6 +263,7 @@
         if (part.empty() || this->framing == body_framing::none) {
             return !this->gone;
         }
+        auto const counted = this->count_memory(part.size());
         auto const bytes = asio::buffer(part.data(), part.size());
         return this->framing == body_framing::chunked ? this->write_buffers(http::make_chunk(bytes))
                                                       : this->write_buffers(bytes);
--- a/linnetlane/runtime/worker_pool.cpp
+++ b/linnetlane/runtime/worker_pool.cpp
@@ -9,9 +9,9 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/fiber/fiber.hpp>
-#include <boost/fiber/fixedsize_stack.hpp>
 #include <boost/fiber/future.hpp>
 #include <boost/fiber/operations.hpp>
+#include <boost/fiber/pooled_fixedsize_stack.hpp>
 
 #include "linnetlane/runtime/internal/asio_scheduler.h"
 
@@ -31,7 +31,9 @@
 thread_local worker_index current_worker{};
 
 auto start_fiber(std::function<void()> body) -> void {
-    auto stack = boost::fibers::fixedsize_stack(stack_bytes);
+    // Stacks are used again, so that a fiber costs no allocation from the system.
+    thread_local auto stacks = boost::fibers::pooled_fixedsize_stack(stack_bytes);
+    auto stack = stacks;
     boost::fibers::fiber(std::allocator_arg, stack, std::move(body)).detach();
 }
 
--- a/linnetlane/upstream/model_engine.cpp
+++ b/linnetlane/upstream/model_engine.cpp
@@ -22,6 +22,7 @@
             return call_failure_kind::connection_closed;
         case runtime::http_failure_kind::malformed:
         case runtime::http_failure_kind::too_large:
+        case runtime::http_failure_kind::no_memory:
             return call_failure_kind::malformed_answer;
     }
     return call_failure_kind::connection_closed;
