Router: a refusal that breaks off doesn't say that a request has not run

Callers saw, in a test: an upstream in trouble sent the head of a refusal that says that the request has not run, and its body broke off. A request that may run once was sent to another upstream (200), and the caller of a generation got 503, which says that nothing ran and nothing will.

Cause: the routes believed the head of a refusal before its body was read. A broken answer promises nothing.

With the whole body, the request goes on to another upstream as before.

Change: the rest of a refusal is read, at most 64 KiB and for 250 ms, before the request is sent on. Without it the outcome is unknown, the failure counts against the upstream, and its cause is logged. The same holds for refusals of other hosts. A connection whose refusal was read whole may be used again.

--- a/linnetlane/router/generation_forwarder.h
+++ b/linnetlane/router/generation_forwarder.h
@@ -628,7 +628,7 @@
         auto const made = whole ? Wire::read_prefill_result(base::value_of(body)) : std::nullopt;
         if (opened->head.other_instance) {
             pool.note_replaced(engine.id, now);
-        } else if (opened->head.not_run) {
+        } else if (opened->head.not_run && broken == nullptr) {
             pool.note_full(engine.id, now);
         } else {
             pool.note_outcome(engine.id,
@@ -732,6 +732,12 @@
         if (opened.head.other_instance) {
             pool.note_replaced(reserved.engine.id, now);
         }
+        if (opened.head.not_run && !arrives_whole(this->context, opened)) {
+            return this->after_decode_failure(reserved, source,
+                                              this->context.cancelled.cancelled()
+                                                  ? exchange_failure_kind::caller_left
+                                                  : exchange_failure_kind::unusable_answer);
+        }
         if (opened.head.not_run) {
             this->release(reserved);
             this->discard(source);
--- a/linnetlane/router/peer_forwarder.h
+++ b/linnetlane/router/peer_forwarder.h
@@ -80,7 +80,7 @@
         auto& opened = std::get<opened_answer>(result);
         if (is_forward_refusal(opened.head, opened.stream.fields())) {
             this->log(peer, "host didn't take the request", opened.head.status);
-            return std::nullopt;
+            return arrives_whole(this->context, opened) ? std::nullopt : this->retry_or_give_up();
         }
         this->log(peer, "forwarded", opened.head.status);
         auto const success = opened.head.status >= 200 && opened.head.status < 300;
--- a/linnetlane/router/plain_forwarder.h
+++ b/linnetlane/router/plain_forwarder.h
@@ -236,6 +236,9 @@
                     base::time_point sent_at) -> std::optional<request_result> {
         auto const& head = opened.head;
         note_announcements(this->context.host, this->context.service, target.id, head);
+        if (head.not_run && !arrives_whole(this->context, opened)) {
+            return this->after_broken_refusal(target, sent_at);
+        }
         if (head.not_run) {
             this->note(target, routing::exchange_outcome::rejected, sent_at, head.load);
             this->log_attempt(
@@ -264,6 +267,19 @@
         return this->forward_whole(target, opened, sent_at);
     }
 
+    auto after_broken_refusal(routing::upstream_record const& target, base::time_point sent_at)
+        -> std::optional<request_result> {
+        if (this->context.cancelled.cancelled()) {
+            this->note(target, routing::exchange_outcome::abandoned, sent_at, std::nullopt);
+            return request_result{request_outcome::caller_left};
+        }
+        ++this->runs;
+        this->may_have_run = true;
+        this->note(target, routing::exchange_outcome::transport_failure, sent_at, std::nullopt);
+        this->log_attempt(target, "refusal is incomplete");
+        return this->retry_or_give_up(refusal_reason::outcome_unknown);
+    }
+
     auto forward_whole(routing::upstream_record const& target, opened_answer& opened,
                        base::time_point sent_at) -> std::optional<request_result> {
         auto body = opened.stream.read_all(max_answer_bytes, this->context.answer_by());
--- a/linnetlane/router/request_context.h
+++ b/linnetlane/router/request_context.h
@@ -331,6 +331,21 @@
         {context.caller.id, context.service, from, {"cause", describe(failed.kind)}});
 }
 
+// Returns whether the rest of a refusal arrives. What a broken one promises isn't trusted, such as
+// that the request has not run.
+inline auto arrives_whole(request_context const& context, opened_answer& refusal) -> bool {
+    // Refusals are short.
+    constexpr auto longest = std::chrono::milliseconds{250};
+    auto const body = refusal.stream.read_all(
+        static_cast<std::size_t>(max_control_answer.value),
+        std::min(context.answer_by(), base::monotonic_clock::now() + longest));
+    auto const* const failed = base::failure_of(body);
+    if (failed != nullptr) {
+        log_broken_answer(context, refusal.from, *failed);
+    }
+    return failed == nullptr;
+}
+
 using exchange_result = std::variant<opened_answer, exchange_failure_kind>;
 
 // The number of answers to other requests that are skipped on a connection before it is abandoned.
