--- a/linnetlane/router/request_context.h
+++ b/linnetlane/router/request_context.h
@@ -323,9 +323,13 @@
             failed.kind == runtime::http_failure_kind::no_memory);
 }
 
-// Logs that what an upstream or another host sent is no answer to the request.
+// Logs that what an upstream or another host sent is no answer to the request, unless the caller's
+// leaving ended it.
 inline auto log_broken_answer(request_context const& context, base::endpoint const& from,
                               runtime::http_failure const& failed) -> void {
+    if (context.cancelled.cancelled()) {
+        return;
+    }
     context.host.log.write(
         telemetry::log_level::info, "answer can't be used",
         {context.caller.id, context.service, from, {"cause", describe(failed.kind)}});
