Router: the connection of a refusal is closed after it, as before

Since the rest of a refusal is read before it is believed, its connection was kept for the next request.

--- a/linnetlane/router/request_context.h
+++ b/linnetlane/router/request_context.h
@@ -340,6 +340,8 @@
 inline auto arrives_whole(request_context const& context, opened_answer& refusal) -> bool {
     // Refusals are short.
     constexpr auto longest = std::chrono::milliseconds{250};
+    // A copy of the refusal may follow it, which the next request must not get.
+    refusal.stream.close_after_response();
     auto const body = refusal.stream.read_all(
         static_cast<std::size_t>(max_control_answer.value),
         std::min(context.answer_by(), base::monotonic_clock::now() + longest));
--- a/linnetlane/runtime/http.h
+++ b/linnetlane/runtime/http.h
@@ -104,6 +104,8 @@
     // Reads the rest of the body, at most `most` bytes.
     [[nodiscard]] auto read_all(std::size_t most, base::time_point deadline)
         -> base::result<std::string, http_failure>;
+    // The connection is closed after this response, instead of being used again.
+    auto close_after_response() -> void;
     // Closes the connection. A read that is suspended on the same worker fails with `closed`.
     auto close() -> void;
 
--- a/linnetlane/runtime/http_client.cpp
+++ b/linnetlane/runtime/http_client.cpp
@@ -286,6 +286,7 @@
     std::optional<http::response_parser<http::buffer_body>> parser_slot;
     http_fields fields;
     bool finished = false;
+    bool may_reuse = true;
     // Called by the parser for each chunk, with its size.
     std::function<void(std::uint64_t, beast::string_view, boost::system::error_code&)> on_chunk =
         [this](std::uint64_t size, beast::string_view, boost::system::error_code& error) {
@@ -456,7 +457,7 @@
         // Otherwise the connection is about to be closed.
         auto const has_memory = this->count_memory();
         this->memory.reset();
-        auto const reusable = has_memory && this->parser().get().keep_alive() &&
+        auto const reusable = has_memory && this->may_reuse && this->parser().get().keep_alive() &&
                               this->used->buffer.size() == 0 && this->sending->written;
         if (reusable) {
             this->used->reusable_until = base::monotonic_clock::now() + keep_time(this->fields);
@@ -538,6 +539,10 @@
     }
 }
 
+auto http_stream::close_after_response() -> void {
+    this->opened->may_reuse = false;
+}
+
 auto http_stream::close() -> void {
     if (this->opened->used) {
         this->opened->used->stream.close();
--- a/linnetlane/runtime/http_test.cpp
+++ b/linnetlane/runtime/http_test.cpp
@@ -120,6 +120,29 @@
     });
 }
 
+BOOST_FIXTURE_TEST_CASE(a_connection_is_not_used_again_if_it_closes_after_its_response, fixture) {
+    // A second connection at the same time would be over the limit.
+    auto limits = http_limits{};
+    limits.connections = 1;
+    auto server = http_server(this->pool, loopback, limits,
+                              [](http_request const&, auto& responder) { responder.send({}); });
+    in_fiber(this->pool, [&] {
+        for (auto const closes : {false, true}) {
+            auto opened = open_stream(server.address(), {}, connection_use::pooled, soon());
+            BOOST_REQUIRE(base::succeeded(opened));
+            auto stream = base::take_value(std::move(opened));
+            BOOST_TEST(stream.reuses_connection() == closes);
+            if (closes) {
+                stream.close_after_response();
+            }
+            BOOST_REQUIRE(base::succeeded(stream.read_all(100, soon())));
+        }
+        auto last = open_stream(server.address(), {}, connection_use::pooled, soon());
+        auto const* const opened = std::get_if<http_stream>(&last);
+        BOOST_TEST((opened == nullptr || !opened->reuses_connection()));
+    });
+}
+
 BOOST_FIXTURE_TEST_CASE(an_answer_in_parts_arrives_in_order, fixture) {
     auto server = http_server(this->pool, loopback, {}, [](http_request const&, auto& responder) {
         responder.start(200, {});
