--- a/linnetlane/runtime/response_memory.h
+++ b/linnetlane/runtime/response_memory.h
@@ -36,7 +36,8 @@
     // The server that sends the responses; empty if this process does.
     base::endpoint from = {};
 
-    friend auto operator<=>(response_group const&, response_group const&) = default;
+    friend auto operator<=>(response_group const&, response_group const&)
+        -> std::strong_ordering = default;
 };
 
 // Thread-safe. Outlives its shares.
