Entry host: events and watch lines count toward the memory of all answers

Each is bounded by itself (1 MiB of an event, and a line of the store's watch), their sum wasn't. The readers of the entry host say what they keep, as the router's do. No test measures the entry host's memory.

--- a/linnetlane/coordination/etcd_store.cpp
+++ b/linnetlane/coordination/etcd_store.cpp
@@ -223,6 +223,7 @@
             if (text.size() > max_watch_line_bytes) {
                 return;
             }
+            watch.stream->note_kept(text.capacity());
         }
     }
 
--- a/linnetlane/upstream/model_engine.cpp
+++ b/linnetlane/upstream/model_engine.cpp
@@ -117,6 +117,7 @@
         return failure_after_send(call_failure_kind::connection_closed);
     }
     auto parsed = this->parser.feed(base::value_of(bytes));
+    this->stream.note_kept(this->parser.held_bytes());
     if (!base::succeeded(parsed)) {
         return failure_after_send(call_failure_kind::malformed_answer);
     }
--- a/linnetlane/upstream/sse.h
+++ b/linnetlane/upstream/sse.h
@@ -35,6 +35,10 @@
     // returns that failure.
     [[nodiscard]] auto feed(std::string_view bytes)
         -> base::result<std::vector<sse_event>, sse_failure>;
+    // The bytes of memory that the event which isn't complete yet uses.
+    [[nodiscard]] auto held_bytes() const -> std::size_t {
+        return this->line.capacity() + this->data.capacity();
+    }
 
 private:
     auto process_line() -> void;
