--- a/linnetlane/runtime/response_memory_test.cpp
+++ b/linnetlane/runtime/response_memory_test.cpp
@@ -255,16 +255,16 @@
 
 BOOST_FIXTURE_TEST_CASE(a_kept_response_is_taken_unless_it_gave_way, process_fixture) {
     this->run(1, [](std::size_t) {
-        auto kept = kept_response{one, {500, {}, std::string(9'000'000, 'x')}};
-        auto larger = kept_response{two, {500, {}, std::string(10'000'000, 'x')}};
-        auto third = kept_response{one, {500, {}, std::string(8'000'000, 'x')}};
+        auto kept = kept_response{one, {500, {}, std::string(7'000'000, 'x')}};
+        auto larger = kept_response{two, {500, {}, std::string(8'000'000, 'x')}};
+        auto third = kept_response{one, {500, {}, std::string(6'000'000, 'x')}};
         // Those of the first server hold most, and the handler drops the largest of them.
         sleep_until(base::monotonic_clock::now() + 10ms);
         BOOST_TEST(!kept.take().has_value());
         auto const taken = larger.take();
         BOOST_REQUIRE(taken.has_value());
         BOOST_TEST(taken->status == 500);
-        BOOST_TEST(taken->body.size() == 10'000'000U);
+        BOOST_TEST(taken->body.size() == 8'000'000U);
         BOOST_TEST(third.take().has_value());
     });
     BOOST_TEST(process_response_memory().in_use().value == 0);
