--- a/linnetlane/runtime/http_test.cpp
+++ b/linnetlane/runtime/http_test.cpp
@@ -934,15 +934,15 @@
     // Checks the same of a head with this field line: of a final response with a length, in chunks
     // or without either, of an interim one, and of the trailers.
     auto expect_malformed_line(std::string const& line) -> void {
-        auto const begin = std::string{"HTTP/1.1 200 OK\r\nX-Of: answer\r\n"};
+        auto const chunks = std::string{"Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n"};
         for (auto const& bytes : {
-                 begin + line + "\r\nContent-Length: 5\r\n\r\nwhole",
-                 begin + "Content-Length: 5\r\n" + line + "\r\n\r\nwhole",
-                 begin + line + "\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n",
-                 begin + line + "\r\n\r\nwhole",
-                 "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n" + line + "\r\n\r\n" + final_answer,
-                 begin + "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\nX-Sum: 8\r\n" +
-                     line + "\r\n\r\n",
+                 joined({head_begin, line, "\r\nContent-Length: 5\r\n\r\nwhole"}),
+                 joined({head_begin, "Content-Length: 5\r\n", line, "\r\n\r\nwhole"}),
+                 joined({head_begin, line, "\r\n", chunks, "\r\n"}),
+                 joined({head_begin, line, "\r\n\r\nwhole"}),
+                 joined({"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n", line, "\r\n\r\n",
+                         final_answer}),
+                 joined({head_begin, chunks, "X-Sum: 8\r\n", line, "\r\n\r\n"}),
              }) {
             this->expect_malformed(bytes);
         }
