Router: a host that has just started doesn't take the only version for that of every stream

Cause: without a record, a host that had just started took the only version that it knew for the one that began the stream, if upstreams of that version had run for longer than a stream lasts (version_history::version_without_record). That doesn't show that no upstreams of an older version served until a moment before. The record was missing since the registry turned away the host that began the stream. Other hosts, which knew the version, weren't asked.

Ruled out by reading: a wrong or late record (none is written); other hosts' answers (`sole_version` needs a history of 30 s, `conclude` compares it); a host that reads changes late (unread ones are checked).

Change: how long upstreams have run tells nothing of the time before a host started; the history counts only what the host saw. Hosts that read the registry state in their entries which services had one version only for as long as a stream can be resumed, with the host's lease as the limit on the age of the statement. A host that starts adopts it if the upstreams that it lists first agree, so that streams of a steady service still go on after all hosts were lost at once.

--- a/linnetlane/router/host_membership.h
+++ b/linnetlane/router/host_membership.h
@@ -173,7 +173,7 @@
         view.learn_quarantined(listed.quarantined, now);
         this->note_unreadable(listed.unreadable);
         auto const followers = view.feed.followers(now);
-        this->publish_followers(followers.size());
+        this->publish_entry(followers.size());
         view.other_readers.clear();
         for (auto const& each : listed.hosts) {
             if (each.entry.peers && each.entry.host != this->host.settings.host) {
@@ -244,17 +244,25 @@
         return total;
     }
 
-    auto publish_followers(std::size_t count) -> void {
+    // Replaces this host's entry if the number of followers or the services with one software
+    // version have changed.
+    auto publish_entry(std::size_t followers) -> void {
         auto const published = static_cast<double>(this->published_followers);
-        auto const change = std::abs(static_cast<double>(count) - published);
-        if (!this->lease || change <= min_follower_change * published) {
+        auto const change = std::abs(static_cast<double>(followers) - published);
+        auto const now = base::monotonic_clock::now();
+        auto versions = this->host.view.reads_registry ? this->host.view.sole_versions(now)
+                                                       : this->published_versions;
+        auto const changed =
+            change > min_follower_change * published || versions != this->published_versions;
+        if (!this->lease || !changed) {
             return;
         }
-        auto const updated =
-            this->registry.update_entry(registered_host{this->host.view.relays.own_entry(), count},
-                                        *this->lease, base::monotonic_clock::now() + call_timeout);
+        auto const updated = this->registry.update_entry(
+            registered_host{this->host.view.relays.own_entry(), followers, versions}, *this->lease,
+            now + call_timeout);
         if (base::succeeded(updated)) {
-            this->published_followers = count;
+            this->published_followers = followers;
+            this->published_versions = std::move(versions);
         }
     }
 
@@ -290,6 +298,7 @@
         this->lease = granted->lease;
         this->lease_until = now + granted->ttl;
         this->published_followers = 0;
+        this->published_versions.clear();
         this->first_steps = first_intervals;
         this->log_registered();
         return true;
@@ -499,6 +508,8 @@
     base::time_point needed_until = base::time_point::min();
     // The number of followers in the host's entry in the registry.
     std::size_t published_followers = 0;
+    // The services with one software version in that entry.
+    std::map<base::service_id, base::software_version> published_versions;
     // The number of steps that follow at `first_interval`.
     int first_steps = 0;
     std::map<base::service_id, routing::stage_balancer> balancers;
--- a/linnetlane/router/messages.h
+++ b/linnetlane/router/messages.h
@@ -7,6 +7,7 @@
 #include <concepts>
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -324,6 +325,9 @@
     host_entry entry;
     // The number of hosts that follow this one.
     std::size_t followers = 0;
+    // The services whose upstreams have had one software version only for as long as a stream can
+    // be resumed, with that version. Tells a host that starts of the time before.
+    std::map<base::service_id, base::software_version> sole_versions = {};
 };
 
 struct host_listing {
--- a/linnetlane/router/registry_follower.h
+++ b/linnetlane/router/registry_follower.h
@@ -528,6 +528,7 @@
             view.relays.note_registry_regained(base::monotonic_clock::now());
         }
         view.learn_quarantined(base::value_of(listing).quarantined, base::monotonic_clock::now());
+        view.learn_stated_versions(base::value_of(listing), base::monotonic_clock::now());
         auto const registered = hosts_of(base::value_of(listing), view.relays.own_entry());
         if (!registered.empty()) {
             view.relays.set_order(order_relays(registered, {}));
--- a/linnetlane/router/routing_view.cpp
+++ b/linnetlane/router/routing_view.cpp
@@ -1,9 +1,8 @@
 #include "linnetlane/router/routing_view.h"
 
 #include <algorithm>
-#include <chrono>
-#include <cstdint>
 #include <map>
+#include <set>
 #include <utility>
 
 namespace linnetlane::router {
@@ -17,25 +16,6 @@
     return *state;
 }
 
-namespace {
-
-// Returns how long the upstream has run, at most an hour, or zero if that isn't known. Its record
-// may state any number.
-auto time_since_start(routing::upstream_record const& record) -> base::duration {
-    constexpr auto most = std::chrono::milliseconds{std::chrono::hours{1}};
-    auto const since_epoch = std::chrono::system_clock::now().time_since_epoch();
-    auto const now = static_cast<std::uint64_t>(
-        std::chrono::duration_cast<std::chrono::milliseconds>(since_epoch).count());
-    auto const started = record.started.value;
-    if (started == 0 || started >= now) {
-        return base::duration::zero();
-    }
-    auto const count = std::min(now - started, static_cast<std::uint64_t>(most.count()));
-    return std::chrono::milliseconds{count};
-}
-
-}  // namespace
-
 auto routing_view::refresh_pools() -> void {
     auto const now = base::monotonic_clock::now();
     auto by_service = std::map<base::service_id, std::vector<routing::upstream_record>>{};
@@ -49,13 +29,57 @@
         auto& state = this->service(id);
         state.plain.set_members(records);
         state.generation.set_members(records);
-        auto present = std::map<base::software_version, base::duration>{};
+        auto present = std::set<base::software_version>{};
         for (auto const& record : records) {
-            auto& oldest = present[record.software];
-            oldest = std::max(oldest, time_since_start(record));
+            present.insert(record.software);
         }
         state.versions.note_present(present, now);
     }
+    this->use_stated_versions(now);
+}
+
+auto routing_view::use_stated_versions(base::time_point now) -> void {
+    if (!this->upstreams.has_listing()) {
+        return;
+    }
+    auto const stated = std::exchange(this->stated_versions, {});
+    if (now < this->stated_until) {
+        for (auto const& [id, version] : stated) {
+            this->service(id).versions.note_stated(version, now);
+        }
+    }
+}
+
+auto routing_view::learn_stated_versions(host_listing const& listing, base::time_point now)
+    -> void {
+    if (this->upstreams.has_listing()) {
+        return;
+    }
+    this->stated_versions.clear();
+    auto disputed = std::set<base::service_id>{};
+    for (auto const& each : listing.hosts) {
+        for (auto const& [id, version] : each.sole_versions) {
+            auto const [place, added] = this->stated_versions.try_emplace(id, version);
+            if (!added && place->second != version) {
+                disputed.insert(id);
+            }
+        }
+    }
+    for (auto const& id : disputed) {
+        this->stated_versions.erase(id);
+    }
+    this->stated_until = now + longest_unobserved;
+}
+
+auto routing_view::sole_versions(base::time_point now) const
+    -> std::map<base::service_id, base::software_version> {
+    auto found = std::map<base::service_id, base::software_version>{};
+    for (auto const& [id, state] : this->services) {
+        if (auto const version = state->versions.certain_version(now)) {
+            found.emplace(id, *version);
+        }
+    }
+    return found;
 }
 
 auto routing_view::forget_load(base::upstream_id const& id) -> void {
--- a/linnetlane/router/routing_view.h
+++ b/linnetlane/router/routing_view.h
@@ -132,6 +132,13 @@
     auto note_upstreams_current(base::boot_clock::time_point moment) -> void;
     // Records that changes of the upstreams may have been missed.
     auto note_missed_changes() -> void;
+    // Learns from other hosts' entries which services had one software version only before this
+    // host started. Has no effect once the upstreams are known.
+    auto learn_stated_versions(host_listing const& listing, base::time_point now) -> void;
+    // Returns the software version of each service that has had one only for as long as a stream
+    // can be resumed.
+    [[nodiscard]] auto sole_versions(base::time_point now) const
+        -> std::map<base::service_id, base::software_version>;
     // Returns the software version of an upstream that may begin a stream of the service, drawn
     // from those that don't leave and, if it `generates`, decode; nothing if there is none.
     [[nodiscard]] auto draw_version(base::service_id const& id, bool generates)
@@ -181,6 +188,8 @@
     routing::request_quarantine quarantine;
 
 private:
+    // Adds what other hosts stated to the first view of the upstreams.
+    auto use_stated_versions(base::time_point now) -> void;
     // Applies that room was scarce for a rank of a service.
     auto apply_scarcity(routing::shared_fact const& fact, base::time_point now) -> void;
     // Applies what an upstream said of the rate that it takes.
@@ -195,6 +204,9 @@
     static constexpr auto longest_unobserved = std::chrono::seconds{5};
 
     std::optional<shown_configuration> shown;
+    // What other hosts stated before this one knew the upstreams, and until when that counts.
+    std::map<base::service_id, base::software_version> stated_versions;
+    base::time_point stated_until = base::time_point::min();
     std::optional<base::boot_clock::time_point> upstreams_current_at;
     // Until this time a smaller number of hosts is ignored.
     base::time_point peak_hosts_until;
--- a/linnetlane/router/stream_origin_finder.h
+++ b/linnetlane/router/stream_origin_finder.h
@@ -7,7 +7,9 @@
 // 1. this host's memory;
 // 2. the record in the registry;
 // 3. without a record, the only version that there was for as long as a stream can be resumed, if
-//    the registry shows that this host knows all changes;
+//    the registry shows that this host knows all changes. A host that has just started knows that
+//    from another one only: the host that began the stream may have been turned away by the
+//    registry, at a version that has left since;
 // 4. other hosts, which have the same sources;
 // 5. if most of these have no answer of the registry either, and know the same version only, that
 //    one. Otherwise this host may be cut off while others know a newer version.
@@ -126,7 +128,7 @@
                                       : origin_source::registry_unavailable};
         }
         auto inferred =
-            view.service(service).versions.version_without_record(base::monotonic_clock::now());
+            view.service(service).versions.certain_version(base::monotonic_clock::now());
         auto const& unread = base::value_of(changes);
         auto const is_other = [&](routing::upstream_record const& record) {
             return record.service == service && record.software != inferred;
