Router: upstreams removed while only this host had lost the registry aren't kept

Cause: a record that is missing after an outage of the registry is kept for 2.2 s, since live upstreams whose entries lapsed meanwhile need some time to register again. The grace period was begun by any loss of this host's own path, though nothing lapses while the registry serves the upstreams. It was also begun whenever more than a quarter of the entries left at once, whatever the host knew of an outage.

Ruled out: late news of the removal (the logs of the case show it in the first answer or one interval later); a follower's grace period (the host reads the registry itself); a shorter constant (the store may need two seconds, and an answer may be a second late).

Change: a host counts for how long it has had answers of the registry without a gap (`registry_continuity`). A host that has lost the registry and reads it again asks up to four hosts of its data centre and four of others; if one of them has had answers since before the loss, the grace period ends and removed upstreams are dropped. Followed hosts state the same in each update. The rule of the quarter counts only after a gap in the answers that this host had. A registry that was restored from a copy isn't asked about. New log lines: `removed upstreams may have lapsed`, `the registry was available to another host: no upstream lapsed`.

Not changed: if no other host can tell, as when the registry was away for all, removals are kept until 2.2 s after it answered, also those that it makes just after its return.

--- a/linnetlane/protocol/router.thrift
+++ b/linnetlane/protocol/router.thrift
@@ -186,6 +186,8 @@
     14: optional i64 configuration_version,
     // The position in the registry up to which none is newer than that version.
     15: optional i64 configuration_position,
+    // As in `registry_state`.
+    16: optional i64 registry_answered_for,
 }
 
 struct header_field {
@@ -243,6 +245,12 @@
     2: optional i64 age,
 }
 
+// Whether the registry was available to a host.
+struct registry_state {
+    // The time for which its answers have come without a gap up to now; 0 if they don't come.
+    1: optional i64 answered_for,
+}
+
 // Requests a part of a client account's quota from the host that keeps it for the sender, or gives
 // back what wasn't used.
 struct quota_question {
--- a/linnetlane/router/host.h
+++ b/linnetlane/router/host.h
@@ -222,6 +222,11 @@
             auto const wanted = decode_configuration_question(request.body);
             static_cast<void>(
                 responder.send({200, {}, encode(this->confirmer.state_for_host(wanted))}));
+        } else if (request.target == registry_state_target) {
+            auto const answered_for =
+                this->view.registry_answers.time_without_gap(base::boot_clock::now());
+            // If the peer has disconnected, it takes the registry for unavailable.
+            static_cast<void>(responder.send({200, {}, encode(registry_state{answered_for})}));
         } else {
             this->serve_follower(request, responder);
         }
@@ -347,6 +352,8 @@
             update.upstreams.put = this->view.upstreams.registered();
         }
         update.grace_left = this->view.upstreams.grace_left(now);
+        update.registry_answered_for =
+            this->view.registry_answers.time_without_gap(base::boot_clock::now());
         if (question.known_facts) {
             auto const same_process =
                 question.known_facts->process == this->view.facts_mark().process;
--- a/linnetlane/router/host_membership.h
+++ b/linnetlane/router/host_membership.h
@@ -121,6 +121,9 @@
             this->registry.interrupt_waits();
             return;
         }
+        if (this->host.view.reads_registry) {
+            this->host.view.registry_answers.note_answer(base::boot_clock::now());
+        }
         // Valid until the answer to the next call is due.
         this->host.view.feed.extend_validity(asked_at + interval + call_timeout);
         if (this->list_due()) {
--- a/linnetlane/router/peer_codec.cpp
+++ b/linnetlane/router/peer_codec.cpp
@@ -205,6 +205,7 @@
     }
     out.__set_complete(update.complete);
     out.__set_grace_left(microseconds_of(update.grace_left));
+    out.__set_registry_answered_for(microseconds_of(update.registry_answered_for));
     out.__set_hosts(static_cast<std::int64_t>(update.hosts));
     auto relays = std::vector<peer_wire::host>{};
     for (auto const& host : update.relays) {
@@ -608,6 +609,23 @@
     return state;
 }
 
+auto make_registry_state_request() -> runtime::http_request {
+    return runtime::http_request{"POST", std::string{registry_state_target}, {}, {}};
+}
+
+auto encode(registry_state const& state) -> std::string {
+    auto out = peer_wire::registry_state{};
+    out.__set_answered_for(microseconds_of(state.answered_for));
+    return protocol::write_compact(out);
+}
+
+auto decode_registry_state(std::string_view text) -> std::optional<registry_state> {
+    auto const in = read<peer_wire::registry_state>(text);
+    return in && in->__isset.answered_for && in->answered_for >= 0
+               ? std::optional{registry_state{span(in->answered_for)}}
+               : std::nullopt;
+}
+
 auto encode(changes_question const& question) -> std::string {
     auto out = peer_wire::changes_question{};
     out.__set_after(static_cast<std::int64_t>(question.after.value));
@@ -688,6 +706,9 @@
     }
     update.complete = in->__isset.complete && in->complete;
     update.grace_left = in->__isset.grace_left ? span(in->grace_left) : base::duration{};
+    if (in->__isset.registry_answered_for && in->registry_answered_for >= 0) {
+        update.registry_answered_for = span(in->registry_answered_for);
+    }
     update.hosts = in->__isset.hosts ? amount(in->hosts) : 0;
     if (update.hosts > max_hosts) {
         update.hosts = 0;
--- a/linnetlane/router/peer_codec.h
+++ b/linnetlane/router/peer_codec.h
@@ -88,6 +88,8 @@
     std::optional<registry_position> configuration_position = std::nullopt;
     // Some hosts of other data centres that read the registry. Their entries state no data centre.
     std::vector<host_entry> distant_readers = {};
+    // As in `registry_state`. Older hosts don't state it.
+    base::duration registry_answered_for{};
 };
 
 using changes_answer = base::result<registry_update, registry_failure>;
@@ -158,6 +160,14 @@
         -> bool = default;
 };
 
+// Whether the registry was available to a host.
+struct registry_state {
+    // The time for which its answers have come without a gap up to now; zero if they don't come.
+    base::duration answered_for{};
+
+    friend auto operator==(registry_state const&, registry_state const&) -> bool = default;
+};
+
 // The targets of requests between hosts.
 inline constexpr auto changes_target = std::string_view{"/upstream-changes"};
 inline constexpr auto forward_target = std::string_view{"/forwarded-requests"};
@@ -167,6 +177,7 @@
 inline constexpr auto facts_target = std::string_view{"/facts"};
 inline constexpr auto origins_target = std::string_view{"/stream-origins"};
 inline constexpr auto configuration_target = std::string_view{"/configuration-state"};
+inline constexpr auto registry_state_target = std::string_view{"/registry-state"};
 
 [[nodiscard]] auto make_changes_request(changes_question const& question) -> runtime::http_request;
 [[nodiscard]] auto make_forward_request(forwarded_request const& forwarded)
@@ -208,6 +219,12 @@
 [[nodiscard]] auto decode_configuration_state(std::string_view text)
     -> std::optional<configuration_state>;
 
+// Asks another host whether the registry was available to it.
+[[nodiscard]] auto make_registry_state_request() -> runtime::http_request;
+[[nodiscard]] auto encode(registry_state const& state) -> std::string;
+// Returns nothing if `text` is malformed.
+[[nodiscard]] auto decode_registry_state(std::string_view text) -> std::optional<registry_state>;
+
 [[nodiscard]] auto encode(changes_question const& question) -> std::string;
 [[nodiscard]] auto encode(changes_answer const& answer) -> std::string;
 
--- a/linnetlane/router/peers_test.cpp
+++ b/linnetlane/router/peers_test.cpp
@@ -185,6 +185,7 @@
             registry_update{changes, std::make_shared<routing::configuration const>(configuration)};
         update.complete = *rc::gen::arbitrary<bool>();
         update.grace_left = any_span();
+        update.registry_answered_for = any_span();
         update.hosts = *rc::gen::inRange<std::size_t>(0, 1000);
         update.relays = {relay("h1", 120), relay("h2", 500)};
         update.distant_readers = {relay("h3", 250)};
@@ -202,6 +203,9 @@
         RC_ASSERT(*base::value_of(back).configuration == configuration);
         RC_ASSERT(base::value_of(back).complete == update.complete);
         RC_ASSERT(base::value_of(back).grace_left == update.grace_left);
+        RC_ASSERT(base::value_of(back).registry_answered_for == update.registry_answered_for);
+        auto const state = registry_state{any_span()};
+        RC_ASSERT(decode_registry_state(encode(state)) == state);
         RC_ASSERT(base::value_of(back).hosts == update.hosts);
         RC_ASSERT(base::value_of(back).relays == update.relays);
         RC_ASSERT(base::value_of(back).distant_readers == update.distant_readers);
@@ -534,6 +538,7 @@
         answer.__set_outcome(peer_wire::outcome::changes);
         answer.__set_hosts(number);
         answer.__set_grace_left(number);
+        answer.__set_registry_answered_for(number);
         answer.__set_configuration_age(number);
         auto fact = peer_wire::fact{};
         fact.__set_kind(static_cast<std::int32_t>(routing::fact_kind::upstream_crash));
@@ -550,6 +555,11 @@
         auto const now = base::monotonic_clock::now();
         BOOST_TEST((now - update.facts[0].age <= now));
         BOOST_TEST((now + update.grace_left >= now));
+        BOOST_TEST((now - update.registry_answered_for <= now));
+        auto state = peer_wire::registry_state{};
+        state.__set_answered_for(number);
+        auto const decoded = decode_registry_state(protocol::write_compact(state));
+        BOOST_TEST((now - decoded.value_or(registry_state{}).answered_for <= now));
         BOOST_TEST((now - update.configuration_age.value_or(base::duration{}) <= now));
     }
 }
--- a/linnetlane/router/registry_follower.h
+++ b/linnetlane/router/registry_follower.h
@@ -12,6 +12,7 @@
 #include <algorithm>
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -21,6 +22,7 @@
 #include <vector>
 
 #include "linnetlane/router/messages.h"
+#include "linnetlane/router/outage_inquiry.h"
 #include "linnetlane/router/peer_codec.h"
 #include "linnetlane/router/relay_selector.h"
 #include "linnetlane/router/request_context.h"
@@ -359,7 +361,8 @@
         : registry{own_registry},
           host{own_host},
           on_configuration{std::move(hook)},
-          outages{own_host, "upstreams"} {}
+          outages{own_host, "upstreams"},
+          inquiry{own_host} {}
 
     // Drops records whose grace period has ended. Never returns.
     [[noreturn]] auto sweep() -> void {
@@ -423,7 +426,7 @@
             this->note_registry_lost(*failure);
             return std::nullopt;
         }
-        this->note_registry_answered();
+        static_cast<void>(this->note_registry_answered());
         auto const& listed = base::value_of(listing);
         this->apply_listing(listed.records);
         view.note_upstreams_current(asked_at);
@@ -456,8 +459,8 @@
             this->note_registry_lost(*failure);
             return position;
         }
-        this->note_registry_answered();
-        this->apply(base::value_of(changes));
+        auto const may_have_lapsed = this->note_registry_answered();
+        this->apply(base::value_of(changes), may_have_lapsed);
         this->host.view.note_upstreams_current(current_at);
         this->host.view.feed.publish(base::value_of(changes), change_source::registry);
         if (!turns_reader) {
@@ -469,19 +472,68 @@
     auto note_registry_lost(registry_failure failure) -> void {
         auto& view = this->host.view;
         view.upstreams.note_outage();
+        view.registry_answers.note_loss();
+        ++this->losses;
         this->outages.failed(failure);
         view.relays.note_failure(view.relays.own_entry().host, relay_failure::without_registry,
                                  base::monotonic_clock::now());
         view.feed.set_lost_registry(true);
     }
 
-    auto note_registry_answered() -> void {
+    // Returns whether entries may have lapsed since this host was last up to date, as far as it
+    // knows itself.
+    auto note_registry_answered() -> bool {
         auto& view = this->host.view;
+        auto const losses_before = this->losses;
         this->note_era();
+        auto const was_restored = this->losses != losses_before;
         this->outages.succeeded();
-        view.upstreams.note_available(base::monotonic_clock::now());
+        auto const had_gap = this->had_gap();
+        if (view.upstreams.note_available(base::monotonic_clock::now()) || had_gap) {
+            this->log_grace();
+            if (!was_restored) {
+                this->inquire_about_outage();
+            }
+        }
+        this->last_answer = base::boot_clock::now();
+        view.registry_answers.note_answer(*this->last_answer);
         view.relays.note_success(view.relays.own_entry().host);
         view.feed.set_lost_registry(false);
+        return had_gap;
+    }
+
+    // Returns whether more time than usual has passed since the last answer of a source.
+    [[nodiscard]] auto had_gap() const -> bool {
+        return this->last_answer &&
+               this->host.view.registry_answers.is_gap(*this->last_answer, base::boot_clock::now());
+    }
+
+    auto log_grace() const -> void {
+        auto const now = base::boot_clock::now();
+        this->host.log.write(
+            telemetry::log_level::info, "removed upstreams may have lapsed",
+            {{"without_answer_for", now - this->last_answer.value_or(now)},
+             {"grace_left", this->host.view.upstreams.grace_left(base::monotonic_clock::now())}});
+    }
+
+    // Drops the upstreams whose entries were removed since the last answer, if the registry was
+    // available to another host all the while: their entries have not lapsed.
+    auto inquire_about_outage() -> void {
+        if (!this->last_answer) {
+            return;
+        }
+        this->host.pool.spawn([this, lost_at = *this->last_answer, known_losses = this->losses] {
+            auto const witness = this->inquiry.find_witness(lost_at);
+            // After another loss, there may have been another outage.
+            if (!witness || this->losses != known_losses) {
+                return;
+            }
+            this->host.log.write(telemetry::log_level::info,
+                                 "the registry was available to another host: no upstream lapsed",
+                                 {telemetry::field::peer(*witness)});
+            this->host.view.upstreams.end_grace(base::monotonic_clock::now());
+            this->expire();
+        });
     }
 
     auto note_era() -> void {
@@ -495,6 +547,8 @@
                                  {{"era", static_cast<std::int64_t>(era.value)}});
             // The copy may lack live upstreams, which register again, and the versions of some.
             this->host.view.upstreams.note_outage();
+            this->host.view.registry_answers.note_loss();
+            ++this->losses;
             this->host.view.note_missed_changes();
             this->host.view.origins.record_again();
         }
@@ -580,20 +634,40 @@
         if (update.configuration_version && update.configuration_position) {
             view.note_shown({*update.configuration_version, *update.configuration_position});
         }
+        auto const may_have_lapsed = this->adopt_grace(update);
         view.note_upstreams_current(asked_at);
-        view.upstreams.extend_grace(base::monotonic_clock::now(), update.grace_left);
         if (update.complete) {
             this->apply_listing(update.upstreams.put);
             this->note_unreadable(update.upstreams.unreadable);
             view.feed.restart(update.upstreams.position);
             view.feed.invalidate();
         } else {
-            this->apply(update.upstreams);
+            this->apply(update.upstreams, may_have_lapsed);
             view.feed.publish(update.upstreams, change_source::peer);
         }
         return update.upstreams.position;
     }
 
+    // Keeps removed upstreams for as long as the followed host does. Returns whether entries may
+    // have lapsed since the last answer without that host's knowledge.
+    auto adopt_grace(registry_update const& update) -> bool {
+        auto& view = this->host.view;
+        auto const had_gap = this->had_gap();
+        auto const answered_before = std::exchange(this->last_answer, base::boot_clock::now());
+        auto const now = base::monotonic_clock::now();
+        if (update.grace_left > base::duration::zero()) {
+            view.upstreams.extend_grace(now, update.grace_left);
+            return false;
+        }
+        auto const was_available =
+            answered_before &&
+            *this->last_answer - update.registry_answered_for <= *answered_before;
+        if (was_available) {
+            view.upstreams.end_grace(now);
+        }
+        return !was_available && had_gap;
+    }
+
     // Learns the facts in an answer, and remembers which ones both hosts know now.
     auto learn_from(host_entry const& relay, registry_update const& update) -> void {
         auto& view = this->host.view;
@@ -732,7 +806,9 @@
         this->publish();
     }
 
-    auto apply(upstream_changes const& changes) -> void {
+    // `may_have_lapsed`: there may have been an outage of the registry that this host has not
+    // noticed.
+    auto apply(upstream_changes const& changes, bool may_have_lapsed) -> void {
         auto const now = base::monotonic_clock::now();
         auto& upstreams = this->host.view.upstreams;
         this->host.log.write(telemetry::log_level::debug, "upstream changes read",
@@ -741,9 +817,8 @@
                               {"position", static_cast<std::int64_t>(changes.position.value)}});
         auto const known_removed = std::ranges::count_if(
             changes.removed, [&](auto const& id) { return upstreams.find(id) != nullptr; });
-        if (static_cast<std::size_t>(known_removed) > upstreams.all().size() / 4 + 1) {
-            // So many upstreams don't leave at once: their entries have expired during an outage of
-            // the registry.
+        if (may_have_lapsed &&
+            static_cast<std::size_t>(known_removed) > upstreams.all().size() / 4 + 1) {
             upstreams.begin_grace(now);
         }
         for (auto const& record : changes.put) {
@@ -829,6 +904,11 @@
     host_context const& host;
     configuration_hook on_configuration;
     outage_reporter outages;
+    outage_inquiry inquiry;
+    // When a source of changes answered last.
+    std::optional<base::boot_clock::time_point> last_answer;
+    // The number of losses of the registry or of its changes that this host has noticed.
+    std::uint64_t losses = 0;
     change_origin origin = change_origin::none;
     // The host that changes are read from; empty if there is none.
     base::host_id followed;
--- a/linnetlane/router/routing_view.cpp
+++ b/linnetlane/router/routing_view.cpp
@@ -202,6 +202,26 @@
     }
 }
 
+auto routing_view::hosts_to_ask(std::size_t most, base::time_point now) const
+    -> std::vector<host_entry> {
+    auto found = std::vector<host_entry>{};
+    auto const usable = this->relays.order_for_followers(now);
+    for (auto const* const group : {&usable, &this->relays.known_hosts()}) {
+        for (auto const& each : *group) {
+            auto const is_new =
+                each.host != this->relays.own_entry().host &&
+                std::ranges::find(found, each.host, &host_entry::host) == found.end();
+            if (each.peers && is_new && found.size() < most) {
+                found.push_back(each);
+            }
+        }
+    }
+    for (auto& each : this->some_distant_readers(most)) {
+        found.push_back(std::move(each));
+    }
+    return found;
+}
+
 auto routing_view::some_distant_readers(std::size_t most) const -> std::vector<host_entry> {
     auto found = std::vector<host_entry>{};
     // A host that has lost the registry goes on with the readers that it listed last.
--- a/linnetlane/router/routing_view.h
+++ b/linnetlane/router/routing_view.h
@@ -17,6 +17,7 @@
 #include "linnetlane/base/time.h"
 #include "linnetlane/router/messages.h"
 #include "linnetlane/router/peer_directory.h"
+#include "linnetlane/router/registry_continuity.h"
 #include "linnetlane/router/registry_feed.h"
 #include "linnetlane/router/relay_selector.h"
 #include "linnetlane/router/settings.h"
@@ -89,6 +90,7 @@
     routing_view(router_settings const& settings, std::uint32_t seed)
         : relays{host_entry{settings.host, settings.data_centre, settings.listen.peers,
                             capacity_of(settings)}},
+          registry_answers{settings.changes.applied_within},
           peak_hosts_until{settings.first_start
                                ? base::time_point::min()
                                : base::monotonic_clock::now() + base::duration{assumption_time}},
@@ -154,6 +156,10 @@
     [[nodiscard]] auto facts_mark() const -> fact_mark {
         return fact_mark{this->process, this->facts.position()};
     }
+    // Returns hosts to ask: at most `most` of this data centre, those that may be followed first,
+    // and as many of others.
+    [[nodiscard]] auto hosts_to_ask(std::size_t most, base::time_point now) const
+        -> std::vector<host_entry>;
     // Returns at most `most` readers of other data centres.
     [[nodiscard]] auto some_distant_readers(std::size_t most) const -> std::vector<host_entry>;
     // Returns whether requests of the service are ranked under the configuration in force.
@@ -177,6 +183,8 @@
     peer_directory peers;
     // This host reads the registry itself.
     bool reads_registry = false;
+    // The answers of the registry to this host.
+    registry_continuity registry_answers;
     // The host that changes come from, if it is another one.
     std::optional<host_entry> source;
     // The other hosts that read the registry, of all data centres.
--- a/linnetlane/router/stream_origin_finder.h
+++ b/linnetlane/router/stream_origin_finder.h
@@ -154,7 +154,7 @@
             return own;
         }
         question.memory_only = registry_answered;
-        auto const asked = this->hosts_to_ask();
+        auto const asked = this->host.view.hosts_to_ask(max_asked, base::monotonic_clock::now());
         auto const deadline = base::monotonic_clock::now() + peer_timeout;
         auto const results = std::make_shared<answers>();
         for (auto const& each : asked) {
@@ -211,27 +211,6 @@
         return {may_conclude ? known : std::nullopt, origin_source::registry_unavailable};
     }
 
-    // Returns hosts of this data centre that may be followed, and hosts of others.
-    auto hosts_to_ask() -> std::vector<host_entry> {
-        auto& view = this->host.view;
-        auto asked = std::vector<host_entry>{};
-        auto const usable = view.relays.order_for_followers(base::monotonic_clock::now());
-        for (auto const* const hosts : {&usable, &view.relays.known_hosts()}) {
-            for (auto const& each : *hosts) {
-                auto const is_new =
-                    each.host != view.relays.own_entry().host &&
-                    std::ranges::find(asked, each.host, &host_entry::host) == asked.end();
-                if (each.peers && is_new && asked.size() < max_asked) {
-                    asked.push_back(each);
-                }
-            }
-        }
-        for (auto const& each : view.some_distant_readers(max_asked)) {
-            asked.push_back(each);
-        }
-        return asked;
-    }
-
     static auto describe(origin_source source) -> telemetry::literal {
         switch (source) {
             case origin_source::memory:
--- a/linnetlane/routing/upstream_set.cpp
+++ b/linnetlane/routing/upstream_set.cpp
@@ -10,10 +10,12 @@
     this->outage = true;
 }
 
-auto upstream_set::note_available(base::time_point now) -> void {
-    if (this->outage) {
+auto upstream_set::note_available(base::time_point now) -> bool {
+    auto const was_away = this->outage;
+    if (was_away) {
         this->begin_grace(now);
     }
+    return was_away;
 }
 
 auto upstream_set::begin_grace(base::time_point now) -> void {
@@ -21,6 +23,14 @@
     this->grace_until = now + reregistration_grace;
 }
 
+auto upstream_set::end_grace(base::time_point now) -> void {
+    this->outage = false;
+    this->grace_until = std::min(this->grace_until, now);
+    for (auto& [id, at] : this->drop_at) {
+        at = std::min(at, now);
+    }
+}
+
 auto upstream_set::extend_grace(base::time_point now, base::duration left) -> void {
     if (left > base::duration::zero()) {
         this->outage = false;
@@ -31,7 +41,7 @@
 
 auto upstream_set::replace_all(std::vector<upstream_record> const& listed, base::time_point now)
     -> std::vector<base::upstream_id> {
-    this->note_available(now);
+    static_cast<void>(this->note_available(now));
     auto seen = std::set<base::upstream_id>{};
     for (auto const& record : listed) {
         seen.insert(record.id);
--- a/linnetlane/routing/upstream_set.h
+++ b/linnetlane/routing/upstream_set.h
@@ -11,6 +11,7 @@
 //
 // A record that is missing right after an outage of the registry is kept for a grace period, since
 // live upstreams need some time to register again. Upstreams that were leaving get no grace period.
+// If only this host had lost the registry, no record has lapsed, and the missing ones are dropped.
 //
 // Leaving is final for a process. A registry that was restored from an older copy may show it as
 // ready again.
@@ -80,10 +81,14 @@
 public:
     // Records that the registry can't be read.
     auto note_outage() -> void;
-    // Records that the registry can be read. After an outage, begins the grace period.
-    auto note_available(base::time_point now) -> void;
+    // Records that the registry can be read. After an outage, begins the grace period. Returns
+    // whether there was an outage.
+    auto note_available(base::time_point now) -> bool;
     // Starts the grace period, in which missing records are kept.
     auto begin_grace(base::time_point now) -> void;
+    // Records that the registry was available all the while, so that no record has lapsed: ends the
+    // grace period, also one that an outage would begin. `expire` then drops the missing records.
+    auto end_grace(base::time_point now) -> void;
     // Returns how much longer missing records are kept, at least 0.
     [[nodiscard]] auto grace_left(base::time_point now) const -> base::duration {
         return now < this->grace_until ? this->grace_until - now : base::duration::zero();
--- a/linnetlane/routing/upstream_set_test.cpp
+++ b/linnetlane/routing/upstream_set_test.cpp
@@ -79,6 +79,30 @@
     BOOST_TEST(set.find(base::upstream_id{"lost"}) == nullptr);
 }
 
+// Guards against requests to upstreams that have left: a host that was cut off alone kept those
+// whose entries were removed meanwhile or soon after.
+BOOST_AUTO_TEST_CASE(a_record_removed_while_the_registry_was_available_is_not_kept) {
+    auto set = upstream_set{};
+    set.replace_all({make_record("a"), make_record("b")}, start);
+    set.note_outage();
+    BOOST_TEST(set.note_available(start));
+    BOOST_TEST(!set.remove(base::upstream_id{"a"}, start));
+    auto const later = start + std::chrono::milliseconds{100};
+    set.end_grace(later);
+    BOOST_TEST(set.expire(later).size() == 1U);
+    BOOST_TEST(set.find(base::upstream_id{"a"}) == nullptr);
+    BOOST_TEST(set.remove(base::upstream_id{"b"}, later));
+}
+
+BOOST_AUTO_TEST_CASE(an_outage_of_one_host_alone_begins_no_grace_period) {
+    auto set = upstream_set{};
+    set.replace_all({make_record("a")}, start);
+    set.note_outage();
+    set.end_grace(start);
+    BOOST_TEST(!set.note_available(start));
+    BOOST_TEST(set.remove(base::upstream_id{"a"}, start));
+}
+
 BOOST_AUTO_TEST_CASE(a_leaving_upstream_gets_no_grace_period) {
     auto set = upstream_set{};
     auto leaving = make_record("a");
