Router: versions of streams that can't be recorded are handed over to other hosts

Cause: a stream's version was known to the registry or to the host that began it only. While the registry turned that host away, it told no other host, also not during a planned shutdown, for which it has 8 s.

Ruled out by reading: the resuming hosts (both asked the registry and each other); the time of the shutdown (`leave` waits for requests, and told nothing); the record's lease (none was written).

Change: after each write that failed, and before the exit, a host hands over what is neither recorded nor kept elsewhere to two other hosts, readers of its data centre first. These keep it for the time in which a stream can be resumed, at most 4096 each, answer questions from it, and record it after their own records, so that hosts which start meanwhile find it as well. What was handed over once isn't handed over again, and a host that leaves accepts nothing.

Cost: while the registry is away, a message of some hundred bytes to two hosts for each attempt to write, once for each stream; afterwards up to three writes of one record.

--- a/linnetlane/protocol/router.thrift
+++ b/linnetlane/protocol/router.thrift
@@ -245,6 +245,17 @@
     2: optional i64 age,
 }
 
+struct stream_origin {
+    1: string request,
+    2: string software_version,
+}
+
+// The software versions of streams that the sender couldn't record, for the receiver to keep and to
+// record.
+struct origin_hand_over {
+    1: list<stream_origin> origins,
+}
+
 // Whether the registry was available to a host.
 struct registry_state {
     // The time for which its answers have come without a gap up to now; 0 if they don't come.
--- a/linnetlane/router/host.h
+++ b/linnetlane/router/host.h
@@ -138,6 +138,7 @@
         this->callers->close_idle();
         this->await_requests(schedule.work_until);
         this->shutdown.end_requests();
+        this->recorder.hand_over(true, schedule.exit_by);
         this->await_requests(schedule.exit_by);
         this->close_to_peers(schedule.exit_by);
         this->log.write(
@@ -204,6 +205,27 @@
         static_cast<void>(responder.send(response));
     }
 
+    // Keeps the versions of streams of another host.
+    auto receive_origins(runtime::http_request const& request, runtime::http_responder& responder)
+        -> void {
+        auto const handed_over = decode_origin_hand_over(request.body);
+        auto response = runtime::http_response{};
+        if (!handed_over) {
+            this->log.write(telemetry::log_level::warning,
+                            "malformed versions of streams from a host", {});
+            response.status = 400;
+        } else if (this->leaving) {
+            // The peer looks for another host.
+            response.status = 503;
+        } else {
+            for (auto const& each : *handed_over) {
+                this->view.origins.keep(each, base::monotonic_clock::now());
+            }
+        }
+        // If the peer has disconnected, it hands them over again.
+        static_cast<void>(responder.send(response));
+    }
+
     // Answers another host.
     auto serve_peer(runtime::http_request const& request, runtime::http_responder& responder)
         -> void {
@@ -222,6 +244,8 @@
             auto const wanted = decode_configuration_question(request.body);
             static_cast<void>(
                 responder.send({200, {}, encode(this->confirmer.state_for_host(wanted))}));
+        } else if (request.target == origin_hand_over_target) {
+            this->receive_origins(request, responder);
         } else if (request.target == registry_state_target) {
             auto const answered_for =
                 this->view.registry_answers.time_without_gap(base::boot_clock::now());
--- a/linnetlane/router/peer_codec.cpp
+++ b/linnetlane/router/peer_codec.cpp
@@ -609,6 +609,31 @@
     return state;
 }
 
+auto make_origin_hand_over(std::vector<stream_origin> const& origins) -> runtime::http_request {
+    auto out = peer_wire::origin_hand_over{};
+    for (auto const& each : origins) {
+        auto& added = out.origins.emplace_back();
+        added.__set_request(each.request.value);
+        added.__set_software_version(each.software.value);
+    }
+    out.__set_origins(out.origins);
+    return runtime::http_request{
+        "POST", std::string{origin_hand_over_target}, {}, protocol::write_compact(out)};
+}
+
+auto decode_origin_hand_over(std::string_view text) -> std::optional<std::vector<stream_origin>> {
+    auto in = read<peer_wire::origin_hand_over>(text);
+    if (!in || !in->__isset.origins) {
+        return std::nullopt;
+    }
+    auto origins = std::vector<stream_origin>{};
+    for (auto& each : in->origins) {
+        origins.push_back({base::caller_request_id{std::move(each.request)},
+                           base::software_version{std::move(each.software_version)}});
+    }
+    return origins;
+}
+
 auto make_registry_state_request() -> runtime::http_request {
     return runtime::http_request{"POST", std::string{registry_state_target}, {}, {}};
 }
--- a/linnetlane/router/peer_codec.h
+++ b/linnetlane/router/peer_codec.h
@@ -177,6 +177,7 @@
 inline constexpr auto facts_target = std::string_view{"/facts"};
 inline constexpr auto origins_target = std::string_view{"/stream-origins"};
 inline constexpr auto configuration_target = std::string_view{"/configuration-state"};
+inline constexpr auto origin_hand_over_target = std::string_view{"/handed-over-stream-origins"};
 inline constexpr auto registry_state_target = std::string_view{"/registry-state"};
 
 [[nodiscard]] auto make_changes_request(changes_question const& question) -> runtime::http_request;
@@ -219,6 +220,13 @@
 [[nodiscard]] auto decode_configuration_state(std::string_view text)
     -> std::optional<configuration_state>;
 
+// Hands over the software versions of streams, for another host to keep.
+[[nodiscard]] auto make_origin_hand_over(std::vector<stream_origin> const& origins)
+    -> runtime::http_request;
+// Returns nothing if `text` is malformed.
+[[nodiscard]] auto decode_origin_hand_over(std::string_view text)
+    -> std::optional<std::vector<stream_origin>>;
+
 // Asks another host whether the registry was available to it.
 [[nodiscard]] auto make_registry_state_request() -> runtime::http_request;
 [[nodiscard]] auto encode(registry_state const& state) -> std::string;
--- a/linnetlane/router/peers_test.cpp
+++ b/linnetlane/router/peers_test.cpp
@@ -204,6 +204,11 @@
         RC_ASSERT(base::value_of(back).complete == update.complete);
         RC_ASSERT(base::value_of(back).grace_left == update.grace_left);
         RC_ASSERT(base::value_of(back).registry_answered_for == update.registry_answered_for);
+        auto const origins = *rc::gen::container<std::vector<stream_origin>>(rc::gen::exec([] {
+            return stream_origin{base::caller_request_id{*rc::gen::arbitrary<std::string>()},
+                                 base::software_version{*rc::gen::arbitrary<std::string>()}};
+        }));
+        RC_ASSERT(decode_origin_hand_over(make_origin_hand_over(origins).body) == origins);
         auto const state = registry_state{any_span()};
         RC_ASSERT(decode_registry_state(encode(state)) == state);
         RC_ASSERT(base::value_of(back).hosts == update.hosts);
@@ -526,6 +531,7 @@
     for (auto const* const size : {"\xff\xff\xff\xff\x07", "\xff\xff\xff\xff\x0f"}) {
         auto const endless = std::string{"\x39\xfc"} + size;
         BOOST_TEST(!decode_fact_report(std::string{"\x19\xfc"} + size).has_value());
+        BOOST_TEST(!decode_origin_hand_over(std::string{"\x19\xfc"} + size).has_value());
         BOOST_TEST(base::failure_of(decode_answer(endless)) != nullptr);
     }
 }
