Generations: a request isn't sent to a decode engine that left after the reservation

Cause: the request was sent to the engine's record as it was when memory was reserved. A prefill that takes long, or is made again elsewhere, leaves seconds in which the engine can leave, by a report, by the removal of its entry or by its own answer, or be replaced by another process. Only a pause was checked again.

Ruled out: late news (the host learned within a second); the second prefill's engine (it is chosen from the current records). Plain requests, reservations and prefills are sent right after their upstream is looked up, with no wait in between, so they have no such gap.

Change: before each prefill and before the decode the reservation is checked against the current records (`upstream_set::takes_requests`). If the engine takes no requests any more, memory is reserved at another one of the same software version, which can import the result of the prefill, and the first reservation is released. If none has room, the request waits for it in the order of its latest start, as any other, and is prefilled again.

--- a/linnetlane/router/generation_forwarder.h
+++ b/linnetlane/router/generation_forwarder.h
@@ -109,7 +109,7 @@
             this->log_step({}, "the caller has no time for the prefill queues");
             return attempt_result::no_capacity;
         }
-        auto const reserved = this->reserve();
+        auto reserved = this->reserve();
         if (!reserved) {
             return this->reservation_failure;
         }
@@ -174,8 +174,9 @@
                this->context.host.shutdown.admits_work(base::monotonic_clock::now());
     }
 
-    auto prefill_and_decode(decode_reservation const& reserved) -> attempt_result {
-        auto const source = this->prefill(reserved.engine.id);
+    // `reserved` is replaced if its engine leaves meanwhile.
+    auto prefill_and_decode(decode_reservation& reserved) -> attempt_result {
+        auto const source = this->prefill(reserved);
         if (!source) {
             this->release(reserved);
             return this->prefill_failure;
@@ -344,6 +345,31 @@
         this->rank = routing::rank_request(this->context.route, this->context.account());
     }
 
+    // Returns whether the engine of the reservation still takes requests. If it doesn't, since it
+    // leaves or another process has replaced it, replaces the reservation by one at another engine
+    // of the same software version, which can import the result of a prefill as well. Suspends the
+    // calling fiber.
+    auto keep_reservation(decode_reservation& reserved) -> bool {
+        auto const& upstreams = this->context.host.view.upstreams;
+        if (upstreams.takes_requests(reserved.engine)) {
+            return true;
+        }
+        this->log_step(reserved.engine.id, "the engine with the reservation has left");
+        auto& pool = this->context.state().generation;
+        auto const now = base::monotonic_clock::now();
+        auto found = this->search(pool.decode_candidates(
+            this->engines_to_ask(this->context.host.settings.generation.engines_asked, now),
+            this->context.host.view.draw(), now, reserved.engine.software));
+        if (!found) {
+            return false;
+        }
+        this->release(reserved);
+        pool.end(reserved.engine.id, this->reserved_tokens());
+        reserved = *std::move(found);
+        pool.begin(reserved.engine.id, this->reserved_tokens());
+        return true;
+    }
+
     auto engines_to_ask(std::size_t most, base::time_point now) -> std::size_t {
         this->outranked_until =
             this->rank ? this->context.state().scarcity.outranked_until(*this->rank, now)
@@ -496,14 +522,19 @@
         }
     }
 
-    auto prefill(base::upstream_id const& destination) -> std::optional<prefill_location> {
+    auto prefill(decode_reservation& reserved) -> std::optional<prefill_location> {
         auto tried = std::set<base::upstream_id>{};
         this->prefill_failure = attempt_result::unreachable;
         for (;;) {
+            if (!this->keep_reservation(reserved)) {
+                // A further prefill would be in vain.
+                this->prefill_failure = attempt_result::retry;
+                return std::nullopt;
+            }
             auto const now = base::monotonic_clock::now();
             auto& view = this->context.host.view;
-            auto const id = this->context.state().generation.prefill_candidate(tried, destination,
-                                                                               view.draw(), now);
+            auto const id = this->context.state().generation.prefill_candidate(
+                tried, reserved.engine.id, view.draw(), now);
             auto const* const record = id ? view.upstreams.find(*id) : nullptr;
             if (!this->may_begin()) {
                 this->prefill_failure = attempt_result::leaving;
@@ -652,8 +683,13 @@
 
     // ---- Decode ----
 
-    auto decode(decode_reservation const& reserved, prefill_location const& source)
-        -> attempt_result {
+    auto decode(decode_reservation& reserved, prefill_location const& source) -> attempt_result {
+        if (!this->keep_reservation(reserved)) {
+            this->release(reserved);
+            this->discard(source);
+            return this->context.cancelled.cancelled() ? attempt_result::caller_left
+                                                       : attempt_result::retry;
+        }
         auto const now = base::monotonic_clock::now();
         if (this->context.state().generation.is_paused(reserved.engine.id, now)) {
             this->release(reserved);
--- a/linnetlane/routing/upstream_set.cpp
+++ b/linnetlane/routing/upstream_set.cpp
@@ -157,6 +157,12 @@
     return dropped;
 }
 
+auto upstream_set::takes_requests(upstream_record const& chosen) const -> bool {
+    auto const* const known = this->find(chosen.id);
+    return known != nullptr && !known->leaving && known->stage == chosen.stage &&
+           !has_restarted(chosen, *known);
+}
+
 auto upstream_set::registered() const -> std::vector<upstream_record> {
     auto listed = std::vector<upstream_record>{};
     for (auto const& [id, record] : this->records) {
--- a/linnetlane/routing/upstream_set.h
+++ b/linnetlane/routing/upstream_set.h
@@ -122,6 +122,9 @@
     [[nodiscard]] auto all() const -> std::map<base::upstream_id, upstream_record> const& {
         return this->records;
     }
+    // Returns whether the process that `chosen` describes takes requests in the same stage, as far
+    // as is known now. Check that before each send, since the record was chosen earlier.
+    [[nodiscard]] auto takes_requests(upstream_record const& chosen) const -> bool;
     // Returns the records that are registered, without those that are kept for the grace period.
     [[nodiscard]] auto registered() const -> std::vector<upstream_record>;
     // Returns whether a full listing has been applied.
--- a/linnetlane/routing/upstream_set_test.cpp
+++ b/linnetlane/routing/upstream_set_test.cpp
@@ -103,6 +103,30 @@
     BOOST_TEST(set.remove(base::upstream_id{"a"}, start));
 }
 
+BOOST_AUTO_TEST_CASE(
+    a_chosen_upstream_takes_requests_until_it_leaves_or_another_process_replaces_it) {
+    auto set = upstream_set{};
+    auto chosen = make_record("a");
+    chosen.stage = engine_stage::decode;
+    chosen.started.value = 1000;
+    BOOST_TEST(!set.takes_requests(chosen));
+    set.replace_all({chosen}, start);
+    BOOST_TEST(set.takes_requests(chosen));
+    auto other_stage = chosen;
+    other_stage.stage = engine_stage::prefill;
+    set.put(other_stage);
+    BOOST_TEST(!set.takes_requests(chosen));
+    auto restarted = chosen;
+    restarted.started.value = 2000;
+    set.put(restarted);
+    BOOST_TEST(!set.takes_requests(chosen));
+    BOOST_TEST(set.takes_requests(restarted));
+    set.note_leaving(restarted.id);
+    BOOST_TEST(!set.takes_requests(restarted));
+    set.remove(restarted.id, start);
+    BOOST_TEST(!set.takes_requests(restarted));
+}
+
 BOOST_AUTO_TEST_CASE(a_leaving_upstream_gets_no_grace_period) {
     auto set = upstream_set{};
     auto leaving = make_record("a");
