Facts: a host that the store turned away tells other hosts what it learned

Cause: facts were published only while this host read the registry itself. Other hosts pass theirs on through the host that they follow; a host that is alone in its data centre follows none.

Change: facts are published unless a host is followed.

Test: users_platform_deadly_prompts_test, a_host_that_the_store_turned_away_tells_which_part_crashes_engines. Before, all 6 prompts with the part that the other host received after the loss of the first one were sent to engines, against a limit of 3 crashes (8 failed checks); now they are refused, and sound prompts beside them are answered.

--- a/linnetlane/router/fact_publisher.h
+++ b/linnetlane/router/fact_publisher.h
@@ -1,5 +1,5 @@
-// Tells the other hosts that read the registry what this host has learned. Each of them passes it
-// on to its followers.
+// Tells the other hosts that read the registry what this host has learned, unless it follows one of
+// them. Each of them passes it on to its followers.
 //
 // Sends what changed since the last report, and from time to time everything, for hosts that
 // started since or missed a report. Sends nothing while there are no facts.
@@ -35,7 +35,8 @@
             runtime::sleep_until(base::monotonic_clock::now() + interval);
             auto const now = base::monotonic_clock::now();
             this->log_quarantines(now);
-            if (this->host.view.reads_registry && !this->host.view.facts.empty()) {
+            // A followed host passes on what it is told with each question.
+            if (!this->host.view.source && !this->host.view.facts.empty()) {
                 this->publish(now);
             }
         }
