--- a/linnetlane/router/registry_continuity.h
+++ b/linnetlane/router/registry_continuity.h
@@ -44,10 +44,9 @@
     [[nodiscard]] auto time_without_gap(time_point now) const -> base::duration {
         return this->has_recent_answer(now) ? now - this->since : base::duration::zero();
     }
-    // Returns whether a host that was up to date at `last_current` has missed more than the usual
-    // time between two answers.
-    [[nodiscard]] auto is_gap(time_point last_current, time_point now) const -> bool {
-        return now - last_current > this->longest_gap;
+    // Returns whether more than the usual time between two answers has passed since `last_answer`.
+    [[nodiscard]] auto is_gap(time_point last_answer, time_point now) const -> bool {
+        return now - last_answer > this->longest_gap;
     }
 
 private:
