--- a/linnetlane/router/routing_view_test.cpp
+++ b/linnetlane/router/routing_view_test.cpp
@@ -141,7 +141,7 @@
     BOOST_TEST(view.sole_versions(base::monotonic_clock::now()).empty());
 }
 
-// The store's copy that a statement was read from may be older than what this host has seen.
+// The registry may have been restored from a copy that is older than what this host has seen.
 BOOST_AUTO_TEST_CASE(what_hosts_state_later_does_not_count) {
     auto view = routing_view{settings_of_restart(false), 1};
     auto const now = base::monotonic_clock::now();
--- a/linnetlane/router/stream_origins_test.cpp
+++ b/linnetlane/router/stream_origins_test.cpp
@@ -86,47 +86,47 @@
     BOOST_TEST(origins.find(base::caller_request_id{"r2"}).has_value());
 }
 
-auto const h1_origin = origin("r1", "v1");
-auto const h2_origin = origin("r2", "v2");
+auto const own_origin = origin("r1", "v1");
+auto const kept_origin = origin("r2", "v2");
 
 BOOST_AUTO_TEST_CASE(what_another_host_handed_over_is_known_and_recorded_after_the_own_records) {
     auto origins = stream_origins{};
-    origins.keep(h2_origin, start);
-    origins.bind(h1_origin, start);
-    BOOST_TEST(origins.find(h2_origin.request)->value == "v2");
-    BOOST_TEST((origins.await_unrecorded(1) == std::vector{h1_origin}));
+    origins.keep(kept_origin, start);
+    origins.bind(own_origin, start);
+    BOOST_TEST(origins.find(kept_origin.request)->value == "v2");
+    BOOST_TEST((origins.await_unrecorded(1) == std::vector{own_origin}));
     auto const failed = origins.await_unrecorded(1);
-    BOOST_TEST((failed == std::vector{h2_origin}));
+    BOOST_TEST((failed == std::vector{kept_origin}));
     origins.put_back(failed);
-    BOOST_TEST((origins.await_unrecorded(8) == std::vector{h2_origin}));
+    BOOST_TEST((origins.await_unrecorded(8) == std::vector{kept_origin}));
 }
 
 BOOST_AUTO_TEST_CASE(a_request_stays_bound_whatever_another_host_hands_over) {
     auto origins = stream_origins{};
-    origins.bind(h1_origin, start);
+    origins.bind(own_origin, start);
     origins.keep(origin("r1", "v2"), start);
-    BOOST_TEST(origins.find(h1_origin.request)->value == "v1");
+    BOOST_TEST(origins.find(own_origin.request)->value == "v1");
     BOOST_TEST(origins.unrecorded_count() == 1U);
 }
 
 BOOST_AUTO_TEST_CASE(what_is_neither_recorded_nor_kept_elsewhere_is_handed_over) {
     auto origins = stream_origins{};
-    origins.bind(h1_origin, start);
-    origins.keep(h2_origin, start);
+    origins.bind(own_origin, start);
+    origins.keep(kept_origin, start);
     // Another host has it already.
-    BOOST_TEST((origins.not_handed_over(8, false) == std::vector{h1_origin}));
+    BOOST_TEST((origins.not_handed_over(8, false) == std::vector{own_origin}));
     // Both would be lost with this host.
-    BOOST_TEST((origins.not_handed_over(8, true) == std::vector{h1_origin, h2_origin}));
-    BOOST_TEST((origins.not_handed_over(1, true) == std::vector{h1_origin}));
+    BOOST_TEST((origins.not_handed_over(8, true) == std::vector{own_origin, kept_origin}));
+    BOOST_TEST((origins.not_handed_over(1, true) == std::vector{own_origin}));
     // While the write is under way it may still fail.
     static_cast<void>(origins.await_unrecorded(8));
-    BOOST_TEST((origins.not_handed_over(8, true) == std::vector{h1_origin, h2_origin}));
-    origins.note_recorded({h2_origin});
-    origins.note_handed_over({h1_origin});
+    BOOST_TEST((origins.not_handed_over(8, true) == std::vector{own_origin, kept_origin}));
+    origins.note_recorded({kept_origin});
+    origins.note_handed_over({own_origin});
     BOOST_TEST(origins.not_handed_over(8, true).empty());
     // The registry has lost its record.
     origins.record_again();
-    BOOST_TEST((origins.not_handed_over(8, true) == std::vector{h2_origin}));
+    BOOST_TEST((origins.not_handed_over(8, true) == std::vector{kept_origin}));
 }
 
 BOOST_AUTO_TEST_CASE(what_is_kept_for_other_hosts_is_limited) {
@@ -138,11 +138,11 @@
     BOOST_TEST(origins.unrecorded_count() == stream_origins::max_kept);
     BOOST_TEST(!origins.find(base::caller_request_id{request(4)}).has_value());
     BOOST_TEST(origins.find(base::caller_request_id{request(5)}).has_value());
-    origins.bind(h1_origin, start + routing::stream_lifetime);
+    origins.bind(own_origin, start + routing::stream_lifetime);
     BOOST_TEST(!origins.find(base::caller_request_id{request(5)}).has_value());
-    BOOST_TEST((origins.await_unrecorded(2 * stream_origins::max_kept) == std::vector{h1_origin}));
-    origins.keep(h2_origin, start + routing::stream_lifetime);
-    BOOST_TEST(origins.find(h2_origin.request).has_value());
+    BOOST_TEST((origins.await_unrecorded(2 * stream_origins::max_kept) == std::vector{own_origin}));
+    origins.keep(kept_origin, start + routing::stream_lifetime);
+    BOOST_TEST(origins.find(kept_origin.request).has_value());
 }
 
 BOOST_AUTO_TEST_CASE(unusable_ids_are_not_recorded) {
