--- a/linnetlane/router/registry_follower.h
+++ b/linnetlane/router/registry_follower.h
@@ -480,8 +480,8 @@
         view.feed.set_lost_registry(true);
     }
 
-    // Returns whether entries may have lapsed since this host was last up to date, as far as it
-    // knows itself.
+    // Returns whether more time than usual has passed since the last answer, in which there may
+    // have been an outage that this host has not noticed.
     auto note_registry_answered() -> bool {
         auto& view = this->host.view;
         auto const losses_before = this->losses;
@@ -648,8 +648,8 @@
         return update.upstreams.position;
     }
 
-    // Keeps removed upstreams for as long as the followed host does. Returns whether entries may
-    // have lapsed since the last answer without that host's knowledge.
+    // Keeps removed upstreams for as long as the followed host does. Returns whether there may have
+    // been an outage since the last answer that neither host has noticed.
     auto adopt_grace(registry_update const& update) -> bool {
         auto& view = this->host.view;
         auto const had_gap = this->had_gap();
--- a/linnetlane/router/routing_view.h
+++ b/linnetlane/router/routing_view.h
@@ -183,7 +183,7 @@
     peer_directory peers;
     // This host reads the registry itself.
     bool reads_registry = false;
-    // The answers of the registry to this host.
+    // For how long the registry has answered this host without a gap.
     registry_continuity registry_answers;
     // The host that changes come from, if it is another one.
     std::optional<host_entry> source;
@@ -196,7 +196,7 @@
     routing::request_quarantine quarantine;
 
 private:
-    // Adds what other hosts stated to the first view of the upstreams.
+    // Applies what other hosts stated, as soon as the upstreams are known.
     auto use_stated_versions(base::time_point now) -> void;
     // Applies that room was scarce for a rank of a service.
     auto apply_scarcity(routing::shared_fact const& fact, base::time_point now) -> void;
--- a/linnetlane/router/stream_origin_finder.h
+++ b/linnetlane/router/stream_origin_finder.h
@@ -7,9 +7,9 @@
 // 1. this host's memory;
 // 2. the record in the registry;
 // 3. without a record, the only version that there was for as long as a stream can be resumed, if
-//    the registry shows that this host knows all changes. A host that has just started knows that
-//    from another one only: the host that began the stream may have been turned away by the
-//    registry, at a version that has left since;
+//    the registry shows that this host knows all changes. A host that has just started has to be
+//    told by another one: the version that began the stream may have left just before, and the
+//    registry may have taken no record of it;
 // 4. other hosts, which have the same sources;
 // 5. if most of these have no answer of the registry either, and know the same version only, that
 //    one. Otherwise this host may be cut off while others know a newer version.
--- a/linnetlane/router/stream_origin_recorder.h
+++ b/linnetlane/router/stream_origin_recorder.h
@@ -33,7 +33,7 @@
     static constexpr auto write_timeout = std::chrono::milliseconds{500};
     // The number of hosts that keep a version which can't be recorded.
     static constexpr auto copies = std::size_t{2};
-    // The number of hosts of this data centre, and of others, that are asked to.
+    // The number of hosts of this data centre, and of others, that are asked to keep it.
     static constexpr auto max_asked = std::size_t{4};
     // The number of versions in one message.
     static constexpr auto max_handed_over = std::size_t{256};
--- a/linnetlane/router/stream_origins.h
+++ b/linnetlane/router/stream_origins.h
@@ -47,7 +47,8 @@
     auto bind(stream_origin const& origin, base::time_point now) -> base::software_version;
     // Keeps and records a version that another host handed over, unless the request is bound here.
     auto keep(stream_origin const& origin, base::time_point now) -> void;
-    // Returns the version that `request` is bound to, if this host knows it.
+    // Returns the version that `request` is bound to, here or at a host that handed it over;
+    // nothing if it isn't known.
     [[nodiscard]] auto find(base::caller_request_id const& request) const
         -> std::optional<base::software_version>;
 
