--- a/review/harness-3/case_12.cpp
+++ b/review/harness-3/case_12.cpp
@@ -11,7 +11,7 @@
 namespace review {
 namespace {
 
-constexpr auto restarts = 6;
+constexpr auto restarts = 9;
 constexpr auto streams_per_restart = 6;
 constexpr auto events = 60;
 constexpr auto event_interval = milliseconds{50};
--- a/review/harness-3/case_14.cpp
+++ b/review/harness-3/case_14.cpp
@@ -216,6 +216,10 @@
 
 auto run(std::string const& folder) -> int {
     auto record = recorder{folder + "/record.txt"};
+    if (!allow_descriptors(2 * descriptors)) {
+        record.note("this process may not open enough descriptors");
+        return exit_not_run;
+    }
     auto platform = store{};
     platform.put("op/config",
                  configuration(json::array({route("/sheet/", "idempotent", "yorumcu", 2500, 2)}),
--- a/review/harness-3/site.cpp
+++ b/review/harness-3/site.cpp
@@ -207,6 +207,18 @@
     return value == nullptr || std::string_view{value} != "0";
 }
 
+auto allow_descriptors(std::uint64_t wanted) -> bool {
+    auto limit = rlimit{};
+    if (::getrlimit(RLIMIT_NOFILE, &limit) != 0) {
+        return false;
+    }
+    if (limit.rlim_cur >= wanted) {
+        return true;
+    }
+    limit.rlim_cur = wanted;
+    return limit.rlim_max >= wanted && ::setrlimit(RLIMIT_NOFILE, &limit) == 0;
+}
+
 recorder::recorder(std::string const& file)
     : out{std::fopen(file.c_str(), "w"), [](std::FILE* opened) {
               if (opened != nullptr) {
@@ -490,8 +502,19 @@
     return found == this->items.end() ? std::nullopt : std::optional{found->second.value};
 }
 
+auto store::set_silent(bool wanted) -> void {
+    this->silent = wanted;
+}
+
 auto store::serve(connection& to, request const& asked) -> bool {
-    auto const [status, body] = this->answer_call(asked);
+    auto const [status, body] =
+        this->silent ? std::pair<int, json>{503, json::object()} : this->answer_call(asked);
+    if (this->silent) {
+        while (this->silent && !to.is_closed()) {
+            sleep_for(milliseconds{20});
+        }
+        return false;
+    }
     return to.write(format_answer(
         status, {{{"Content-Type", "application/json"}, {"Store-Era", "1"}}}, body.dump()));
 }
--- a/review/harness-3/site.h
+++ b/review/harness-3/site.h
@@ -51,6 +51,9 @@
 // Returns whether the disruption of the case is played: TROUBLE isn't 0.
 auto plays_trouble() -> bool;
 
+// Lets this process open so many descriptors. Returns false if the system doesn't allow that.
+auto allow_descriptors(std::uint64_t wanted) -> bool;
+
 // Writes lines with the time since the start. Thread-safe.
 class recorder {
 public:
@@ -176,6 +179,8 @@
     auto put(std::string const& key, std::string const& value) -> void;
     auto remove(std::string const& key) -> void;
     [[nodiscard]] auto find(std::string const& key) -> std::optional<std::string>;
+    // From now on, calls get no answer, or are answered again. Calls that got none never get one.
+    auto set_silent(bool wanted) -> void;
 
 private:
     struct item {
@@ -206,6 +211,7 @@
     auto erase(std::string const& key) -> void;
     auto expire() -> void;
 
+    std::atomic<bool> silent = false;
     std::mutex mutex;
     std::condition_variable changed;
     std::map<std::string, item> items;
